mesh: Let calls inherit from the request that they are made for; end a shutdown in time

Ruled out: a smaller budget alone; the repeats multiply down the call graph.

Change: a call of the local instance takes importance, time and repeat mark of the request that runs there; a failure by refusal further down is marked on the way up, not repeated and no evidence against the instance. After the time in which clients learn of a shutdown, requests are refused, truly not run.

--- a/core/peer_envelope.cpp
+++ b/core/peer_envelope.cpp
@@ -11,8 +11,8 @@
 namespace fuchsiagauge {
 namespace {
 
-    constexpr std::size_t callParts = 7;
-    constexpr std::size_t replyParts = 5;
+    constexpr std::size_t callParts = 9;
+    constexpr std::size_t replyParts = 6;
     constexpr const char* noText = "-";
 
     constexpr std::array outcomeNames { "answered", "no-room", "rejected", "leaving", "unreachable",
@@ -72,8 +72,9 @@
 std::string formatPeerCall(const peer_call& call)
 {
     return std::to_string(call.priority) + ' ' + writeTime(call.startWithin) + ' ' + writeTime(call.timeLeft)
-        + (call.isIdempotent ? " 1 " : " 0 ") + writeText(call.instance) + ' ' + writeText(call.callerService)
-        + ' ' + writeText(call.requestId);
+        + (call.isIdempotent ? " 1 " : " 0 ") + (call.isRepeat ? "1 " : "0 ") + std::to_string(call.depth)
+        + ' ' + writeText(call.instance) + ' ' + writeText(call.callerService) + ' '
+        + writeText(call.requestId);
 }
 
 std::optional<peer_call> parsePeerCall(const std::string& value)
@@ -85,16 +86,19 @@
     const auto priority = readNumber(parts[0]);
     const auto startWithin = readNumber(parts[1]);
     const auto timeLeft = readNumber(parts[2]);
-    if (!priority || !startWithin || !timeLeft)
+    const auto depth = readNumber(parts[5]);
+    if (!priority || !startWithin || !timeLeft || !depth)
         return fail(error_kind::BadPeerMessage, "not a number in a call envelope: " + value);
     peer_call call;
     call.priority = static_cast<int>(*priority);
     call.startWithin = milliseconds(static_cast<double>(*startWithin));
     call.timeLeft = milliseconds(static_cast<double>(*timeLeft));
     call.isIdempotent = parts[3] == "1";
-    call.instance = readText(parts[4]);
-    call.callerService = readText(parts[5]);
-    call.requestId = readText(parts[6]);
+    call.isRepeat = parts[4] == "1";
+    call.depth = static_cast<int>(*depth);
+    call.instance = readText(parts[6]);
+    call.callerService = readText(parts[7]);
+    call.requestId = readText(parts[8]);
     return call;
 }
 
@@ -102,7 +106,7 @@
 {
     return std::string(getAttemptOutcomeName(reply.outcome)) + ' ' + std::to_string(reply.busy) + ' '
         + std::to_string(reply.waiting) + ' ' + std::to_string(reply.slots) + ' '
-        + writeTime(reply.serviceTime);
+        + writeTime(reply.serviceTime) + (reply.isShedBelow ? " 1" : " 0");
 }
 
 std::optional<peer_reply> parsePeerReply(const std::string& value)
@@ -128,6 +132,7 @@
     reply.waiting = static_cast<int>(*waiting);
     reply.slots = static_cast<int>(*slots);
     reply.serviceTime = milliseconds(static_cast<double>(*serviceTime));
+    reply.isShedBelow = parts[5] == "1";
     return reply;
 }
 
--- a/core/peer_envelope.h
+++ b/core/peer_envelope.h
@@ -13,6 +13,8 @@
     milliseconds startWithin; ///< Time left in which a start still serves the request well.
     milliseconds timeLeft; ///< Time left until the request expires.
     bool isIdempotent = false;
+    bool isRepeat = false; ///< An instance may have seen the request before, or a request that it runs for.
+    int depth = 0; ///< Requests above it in the call graph.
     std::string instance; ///< Id of the instance that is meant.
     std::string callerService; ///< Service of the VM where the request began.
     std::string requestId;
@@ -43,6 +45,7 @@
     int waiting = 0; ///< Requests that wait for a slot.
     int slots = 1;
     milliseconds serviceTime; ///< Smoothed time that a request holds a slot.
+    bool isShedBelow = false; ///< The instance failed the request because one of its calls found no room.
 };
 
 /// Header fields of the envelope between two nodes.
--- a/mesh/local_target.cpp
+++ b/mesh/local_target.cpp
@@ -40,8 +40,8 @@
     item.expiresAt = now + call.timeLeft;
     item.onEnd = std::move(onEnd);
     m_runs.emplace(id, std::move(item));
-    m_gate.submit(
-        now, { id, call.priority, now + call.startWithin }, [this, id](std::optional<error_kind> refusal) {
+    m_gate.submit(now, { id, call.priority, call.depth, now + call.startWithin },
+        [this, id](std::optional<error_kind> refusal) {
             if (refusal)
                 refuse(id, *refusal);
             else
@@ -55,18 +55,43 @@
     const auto found = m_runs.find(id);
     if (found == m_runs.end())
         return false;
-    const bool wasStarted = found->second.isStarted;
-    const auto sent = found->second.sent;
-    m_runs.erase(found);
-    if (!wasStarted) {
+    const auto given = take(found);
+    if (!given.isStarted) {
         m_gate.cancel(id);
         return false;
     }
-    outgoing_pool::cancel(sent);
+    outgoing_pool::cancel(given.sent);
     m_gate.finish(m_time.now(), std::nullopt);
     return true;
 }
 
+std::optional<parent_run> local_target::findRun(const std::string& requestId) const
+{
+    const auto found = m_startedByRequest.find(requestId);
+    if (found == m_startedByRequest.end())
+        return std::nullopt;
+    const auto& run = m_runs.at(found->second);
+    return parent_run { run.call.priority, run.call.depth, run.call.isRepeat, run.expiresAt };
+}
+
+void local_target::noteShedBelow(const std::string& requestId)
+{
+    const auto found = m_startedByRequest.find(requestId);
+    if (found != m_startedByRequest.end())
+        m_runs.at(found->second).isShedBelow = true;
+}
+
+/// Takes a request out of the lists.
+local_target::running local_target::take(std::unordered_map<std::uint64_t, running>::iterator position)
+{
+    auto run = std::move(position->second);
+    const auto named = m_startedByRequest.find(run.call.requestId);
+    if (named != m_startedByRequest.end() && named->second == position->first)
+        m_startedByRequest.erase(named);
+    m_runs.erase(position);
+    return run;
+}
+
 void local_target::tick()
 {
     m_gate.tick(m_time.now());
@@ -88,6 +113,7 @@
     const auto now = m_time.now();
     item.isStarted = true;
     item.startedAt = now;
+    m_startedByRequest[item.call.requestId] = id;
     outgoing_request outgoing;
     outgoing.request = std::move(item.request);
     outgoing.expiresAt = item.expiresAt;
@@ -107,8 +133,7 @@
     const auto found = m_runs.find(id);
     if (found == m_runs.end())
         return;
-    const auto onEnd = std::move(found->second.onEnd);
-    m_runs.erase(found);
+    const auto onEnd = take(found).onEnd;
     attempt_result result;
     result.outcome = why == error_kind::TargetLeaving ? attempt_outcome::Leaving : attempt_outcome::NoRoom;
     result.load = m_gate.getReport();
@@ -121,17 +146,17 @@
     const auto found = m_runs.find(id);
     if (found == m_runs.end())
         return;
-    const auto onEnd = std::move(found->second.onEnd);
     const auto now = m_time.now();
-    const auto heldFor = now - found->second.startedAt;
-    m_runs.erase(found);
+    const auto run = take(found);
+    const auto heldFor = now - run.startedAt;
     auto result = readResult(std::move(outgoing));
+    result.isShedBelow = run.isShedBelow;
     const bool isSample
         = result.outcome == attempt_outcome::Answered || result.outcome == attempt_outcome::TimedOut;
     m_gate.finish(now, isSample ? std::optional(heldFor) : std::nullopt);
     result.load = m_gate.getReport();
     result.hasLoad = true;
-    onEnd(std::move(result));
+    run.onEnd(std::move(result));
 }
 
 attempt_result local_target::readResult(outgoing_result outgoing)
--- a/mesh/local_target.h
+++ b/mesh/local_target.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -22,6 +23,15 @@
     std::string detail; ///< Why there is no answer.
     slot_report load; ///< The instance's load at the end.
     bool hasLoad = false;
+    bool isShedBelow = false; ///< The instance failed the request because one of its calls found no room.
+};
+
+/// A request that runs at the local instance, as its calls inherit from it.
+struct parent_run {
+    int priority = 0;
+    int depth = 0;
+    bool isRepeat = false;
+    milliseconds expiresAt;
 };
 
 using attempt_hook = std::function<void(attempt_result)>;
@@ -44,6 +54,13 @@
     /// @return whether the instance may have seen it.
     bool cancel(std::uint64_t id);
 
+    /// @param requestId id of a request.
+    /// @return what its calls inherit, if it runs at the instance now.
+    std::optional<parent_run> findRun(const std::string& requestId) const;
+
+    /// Takes in that a call of a request that runs here found no room.
+    void noteShedBelow(const std::string& requestId);
+
     /// Ends what has waited or run for too long.
     void tick();
 
@@ -74,10 +91,12 @@
         outgoing_pool::handle sent;
         attempt_hook onEnd;
         bool isStarted = false;
+        bool isShedBelow = false;
     };
 
     void start(std::uint64_t id);
     void refuse(std::uint64_t id, error_kind why);
+    running take(std::unordered_map<std::uint64_t, running>::iterator position);
     void finish(std::uint64_t id, outgoing_result result);
     attempt_result readResult(outgoing_result result);
 
@@ -86,6 +105,7 @@
     slot_gate m_gate;
     outgoing_pool m_pool;
     std::unordered_map<std::uint64_t, running> m_runs;
+    std::unordered_map<std::string, std::uint64_t> m_startedByRequest;
     std::uint64_t m_lastId = 0;
 };
 
--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -23,7 +23,7 @@
     /// After the signal to stop the clients learn within two questions, a second apart, that the node is not
     /// ready; requests come until then.
     constexpr milliseconds noticeTime { 3000 };
-    constexpr double graceShare = 0.9; ///< Of the time until the process is killed.
+    constexpr double graceShare = 0.92; ///< Of the time until the process is killed.
     constexpr int readyStatus = 200;
     constexpr int notReadyStatus = 503;
     constexpr int notFoundStatus = 404;
@@ -57,6 +57,9 @@
     void onInstanceChange(const instance_directory::entry& known, const char* what);
     void followOwnInstance();
     void checkStopped(milliseconds now);
+    bool isRefusing() const;
+    milliseconds getNoticeTime() const;
+    void refuseStopping(const std::shared_ptr<incoming_call>& call);
     std::string formatMetrics();
 
     boost::asio::io_context& io;
@@ -182,8 +185,33 @@
         log.write(decision::PauseDetected, {}, { { "ms", gap.getCount() } });
 }
 
+/// @return whether the time is over in which clients and peers learn that the node is stopping.
+bool mesh_node::state::isRefusing() const
+{
+    return isStopping && time.now() - stoppingSince >= getNoticeTime();
+}
+
+milliseconds mesh_node::state::getNoticeTime() const { return std::min(noticeTime, config.grace * 0.5); }
+
+/// What comes late in a shutdown could be cut off by its end, so it goes elsewhere.
+void mesh_node::state::refuseStopping(const std::shared_ptr<incoming_call>& call)
+{
+    constexpr const char* retryAfterS = "0.1"; // Clients come back at once, to another node.
+    answer_head head;
+    head.status = notReadyStatus;
+    head.fields.add("Retry-After", retryAfterS);
+    counters.countRequest({}, notReadyStatus, "stopping", milliseconds(), time.now());
+    log.write(decision::RequestRefused, protocol.readClient(call->getRequest().fields).requestId,
+        { { "reason", std::string("stopping") } });
+    call->answer(head, {});
+}
+
 void mesh_node::state::takeClientCall(const std::shared_ptr<incoming_call>& call)
 {
+    if (isRefusing()) {
+        refuseStopping(call);
+        return;
+    }
     const auto started = std::make_shared<outbound_call>(parts, call);
     started->start();
     if (!started->isEnded())
@@ -244,7 +272,9 @@
 {
     const auto elapsed = now - stoppingSince;
     const bool isIdle = callers.getOpenCalls() == 0 && otherNodes.getOpenCalls() == 0;
-    const bool isDone = isIdle && elapsed >= std::min(noticeTime, config.grace * 0.5);
+    if (isRefusing())
+        target.setLeaving(true);
+    const bool isDone = isIdle && isRefusing();
     if (!isDone && elapsed < config.grace * graceShare)
         return;
     log.write(decision::NodeStopped, {},
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -23,8 +23,9 @@
     {
         switch (result.outcome) {
         case attempt_outcome::Answered:
-            return result.head.status >= firstServerErrorStatus ? attempt_evidence::Failure
-                                                                : attempt_evidence::Success;
+            if (result.head.status < firstServerErrorStatus)
+                return attempt_evidence::Success;
+            return result.isShedBelow ? attempt_evidence::Cancelled : attempt_evidence::Failure;
         case attempt_outcome::NoRoom:
             return attempt_evidence::Refusal;
         case attempt_outcome::Leaving:
@@ -87,10 +88,24 @@
     m_expiresAt = std::min(m_expiresAt, m_incoming->getArrival() + m_route->timeout);
     m_service = m_context.splits.choose(*m_route);
     m_context.repeats.onRequest(m_service, m_context.time.now());
+    inherit();
     m_context.protocol.cleanClientFields(request.fields);
     return true;
 }
 
+/// A call of the local instance has the importance and the time of the request that it is made for.
+void outbound_call::inherit()
+{
+    if (m_terms.parentId.empty())
+        return;
+    m_parent = m_context.target.findRun(m_terms.parentId);
+    if (!m_parent)
+        return;
+    m_expiresAt = std::min(m_expiresAt, m_parent->expiresAt);
+    if (m_parent->isRepeat)
+        m_context.repeats.onInheritedRepeat(m_service, m_context.time.now());
+}
+
 milliseconds outbound_call::getStartBy() const
 {
     const auto byTarget = m_incoming->getArrival() + m_route->latencyTarget * queueShare;
@@ -129,7 +144,9 @@
     m_hasOpenAttempt = true;
     m_context.picker.onSend(m_instance, now);
     peer_call call;
-    call.priority = m_route->priority;
+    call.priority = m_parent ? m_parent->priority : m_route->priority;
+    call.depth = m_parent ? m_parent->depth + 1 : 0;
+    call.isRepeat = m_attempts > 0 || (m_parent && m_parent->isRepeat);
     call.startWithin = std::max(milliseconds(), getStartBy() - now);
     call.timeLeft = m_expiresAt - now;
     call.isIdempotent = m_route->isIdempotent;
@@ -188,6 +205,7 @@
     result.outcome = reply->outcome;
     result.load = { reply->busy, reply->waiting, reply->slots, reply->serviceTime };
     result.hasLoad = true;
+    result.isShedBelow = reply->isShedBelow;
     outgoing.head.fields.erase(peer_field::reply);
     result.head = std::move(outgoing.head);
     if (result.outcome == attempt_outcome::Answered || result.outcome == attempt_outcome::Rejected)
@@ -241,7 +259,8 @@
     if (m_expiresAt - now < shortestAttempt)
         return false;
     const bool mayRunAgain = m_route->isIdempotent || hasNotRun(result.outcome);
-    if (!mayRunAgain)
+    // Where a call further down found no room, a repeat would only add to the load there.
+    if (!mayRunAgain || result.isShedBelow)
         return false;
     if (wasSeen && !m_context.repeats.tryTake(m_service, now))
         return false;
@@ -265,15 +284,25 @@
             { { "route", m_route->name }, { "instance", m_instance },
                 { "status", static_cast<double>(result.head.status) }, { "ms", latency.getCount() } });
     }
+    if (result.isShedBelow)
+        noteShed();
     end();
     m_incoming->answer(result.head, result.body);
 }
 
+/// Tells the request that this call is made for that a failure of it is due to overload.
+void outbound_call::noteShed()
+{
+    if (m_parent)
+        m_context.target.noteShedBelow(m_terms.parentId);
+}
+
 /// Ends the request without an instance's answer. It is refused only if no instance can have run it.
 void outbound_call::fail(const attempt_result& last)
 {
     const std::string word = getAttemptOutcomeName(last.outcome);
     if (!m_mayHaveRun) {
+        noteShed();
         answerError(unavailableStatus, word, last.detail, true);
         return;
     }
--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -6,6 +6,7 @@
 #include "transport/incoming_call.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
 
 private:
     bool route();
+    void inherit();
+    void noteShed();
     void attempt();
     void send(const instance_directory::entry& chosen);
     void sendToPeer(const instance_directory::entry& chosen, const peer_call& call);
@@ -53,6 +56,7 @@
     std::shared_ptr<const traffic_rules> m_rules;
     const call_route* m_route = nullptr;
     client_terms m_terms;
+    std::optional<parent_run> m_parent; ///< The request that the local instance makes this call for.
     std::string m_service;
     milliseconds m_expiresAt;
     std::vector<std::string> m_tried;
--- a/mesh/target_protocol.h
+++ b/mesh/target_protocol.h
@@ -14,6 +14,7 @@
     std::string requestId; ///< Empty: none.
     std::optional<milliseconds> timeLeft; ///< How long the client waits.
     std::string host; ///< Without a port.
+    std::string parentId; ///< Id of the request that an instance runs and calls for; empty: none is stated.
 };
 
 /// What the local target is told along with a request.
--- a/policy/repeat_budget.cpp
+++ b/policy/repeat_budget.cpp
@@ -26,6 +26,13 @@
     ++known.slices.back().requests;
 }
 
+void repeat_budget::onInheritedRepeat(const std::string& service, milliseconds now)
+{
+    auto& known = advance(service, now);
+    ++known.repeats;
+    ++known.slices.back().repeats;
+}
+
 bool repeat_budget::tryTake(const std::string& service, milliseconds now)
 {
     auto& known = advance(service, now);
--- a/policy/repeat_budget.h
+++ b/policy/repeat_budget.h
@@ -31,6 +31,10 @@
     /// Counts a client's or target's request to a service.
     void onRequest(const std::string& service, milliseconds now);
 
+    /// Counts a request that is itself part of a repeat further up: it is sent whatever the budget holds, and
+    /// leaves less for repeats of the node's own.
+    void onInheritedRepeat(const std::string& service, milliseconds now);
+
     /// Takes a repeat if the budget holds one.
     /// @return whether the repeat may be sent.
     bool tryTake(const std::string& service, milliseconds now);
--- a/policy/slot_gate.h
+++ b/policy/slot_gate.h
@@ -15,6 +15,7 @@
 struct slot_request {
     std::uint64_t id = 0; ///< Unique among the gate's requests.
     int priority = 0; ///< 0 is the most important.
+    int depth = 0; ///< Among equals the deeper one starts first: more work is lost with it.
     milliseconds startBy; ///< Instant after which a start serves nobody well.
 };
 
@@ -63,7 +64,7 @@
     slot_report getReport() const;
 
 private:
-    using queue_key = std::tuple<int, std::uint64_t>; ///< Priority and arrival.
+    using queue_key = std::tuple<int, int, std::uint64_t>; ///< Priority, depth (deepest first) and arrival.
 
     struct waiting_request {
         slot_request request;
