--- /dev/null
+++ b/tests/core/peer_envelope_test.cpp
@@ -0,0 +1,64 @@
+#include "core/error.h"
+#include "core/peer_envelope.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiagauge;
+
+TEST_GROUP(peer_envelope) {};
+
+TEST(peer_envelope, aCallComesBackAsItWasWritten)
+{
+    peer_call call;
+    call.priority = 2;
+    call.startWithin = milliseconds(150);
+    call.timeLeft = milliseconds(800);
+    call.isRepeat = true;
+    call.depth = 3;
+    call.instance = "i-7";
+    call.requestId = "ab12";
+    const auto read = parsePeerCall(formatPeerCall(call));
+    CHECK(read.has_value());
+    LONGS_EQUAL(2, read->priority);
+    DOUBLES_EQUAL(800, read->timeLeft.getCount(), 0.5);
+    CHECK(read->isRepeat);
+    CHECK_FALSE(read->isIdempotent);
+    LONGS_EQUAL(3, read->depth);
+    STRCMP_EQUAL("i-7", read->instance.c_str());
+    STRCMP_EQUAL("", read->callerService.c_str());
+}
+
+TEST(peer_envelope, eachOutcomeComesBackAsItWasWritten)
+{
+    for (int index = 0; index <= static_cast<int>(attempt_outcome::TimedOut); ++index) {
+        peer_reply reply;
+        reply.outcome = static_cast<attempt_outcome>(index);
+        reply.slots = 12;
+        reply.isShedBelow = index % 2 == 1;
+        const auto read = parsePeerReply(formatPeerReply(reply));
+        CHECK(read.has_value());
+        CHECK(read->outcome == reply.outcome);
+        CHECK(read->isShedBelow == reply.isShedBelow);
+        LONGS_EQUAL(12, read->slots);
+    }
+}
+
+TEST(peer_envelope, refusesWhatItDoesNotKnow)
+{
+    for (const char* text : { "", "1", "1 2 3", "x 1 1 0 0 0 i s r", "1 2 3 0 0 0 i s r more" }) {
+        CHECK_FALSE(parsePeerCall(text).has_value());
+        CHECK(error_kind::BadPeerMessage == getLastError().kind);
+    }
+    for (const char* text : { "", "answered", "answered 1 1 1", "perhaps 1 1 1 1 0", "answered 1 x 1 1 0" })
+        CHECK_FALSE(parsePeerReply(text).has_value());
+}
+
+TEST(peer_envelope, onlyOutcomesWithoutARunCountAsNotRun)
+{
+    CHECK(hasNotRun(attempt_outcome::NoRoom));
+    CHECK(hasNotRun(attempt_outcome::Rejected));
+    CHECK(hasNotRun(attempt_outcome::Misdirected));
+    CHECK_FALSE(hasNotRun(attempt_outcome::Answered));
+    CHECK_FALSE(hasNotRun(attempt_outcome::Lost));
+    CHECK_FALSE(hasNotRun(attempt_outcome::TimedOut));
+}
--- /dev/null
+++ b/tests/platform/store_documents_test.cpp
@@ -0,0 +1,83 @@
+#include "core/error.h"
+#include "platform/store_documents.h"
+
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiagauge;
+
+namespace {
+
+const char* const goodRules = R"({"version":"0000000c","routes":{
+    "orders":{"host":"a.example","prefix":"/o/","routeKind":"non_idempotent","timeoutS":0.8,"targetLatencyS":1.5,
+        "priority":0,"service":"s1","maxAttempts":2},
+    "browse":{"host":"b.example","prefix":"/","routeKind":"idempotent","timeoutS":5,"targetLatencyS":1.2,
+        "priority":2,"split":[{"service":"s2","weight":90},{"service":"s3","weight":10}],"maxAttempts":2}},
+    "services":{"s1":{"healthPath":"/health","maxConnections":640,"protocol":"h1","tls":false}},
+    "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1024,"headerTimeoutS":3,"idleTimeoutS":15}})";
+
+const char* const goodEntry
+    = R"({"service":"s1","address":"10.0.0.9:8080","zone":"a","version":"v1","slots":90,
+    "state":"ready","coldLeftS":1.5,"seq":4,"born":1700000000123})";
+
+} // namespace
+
+TEST_GROUP(store_documents) {};
+
+TEST(store_documents, readsTheOperatorsRules)
+{
+    const auto rules = readStoredRules(goodRules);
+    CHECK(rules.has_value());
+    CHECK_EQUAL(12U, rules->version);
+    const auto* orders = rules->findRoute("a.example", "/o/1");
+    CHECK_FALSE(orders->isIdempotent);
+    DOUBLES_EQUAL(800, orders->timeout.getCount(), 0.001);
+    const auto* browse = rules->findRoute("b.example", "/x");
+    CHECK(browse->isIdempotent);
+    CHECK_EQUAL(2U, browse->parts.size());
+    DOUBLES_EQUAL(10, browse->parts[1].weight, 0.001);
+    LONGS_EQUAL(640, rules->services.at("s1").maxConnections);
+    CHECK_EQUAL(1024U, rules->limits.bodyBytes);
+    DOUBLES_EQUAL(15000, rules->limits.idleTimeout.getCount(), 0.001);
+}
+
+TEST(store_documents, refusesBrokenRules)
+{
+    const std::vector<std::string> broken { "", "[]", "{}", R"({"version":"xyz","routes":{}})",
+        R"({"version":"1"})", R"({"version":"1","routes":{"r":{"host":"a"}}})",
+        R"({"version":"1","routes":{"r":{"host":"a","prefix":"/","split":[]}}})",
+        std::string(goodRules).substr(0, 200) };
+    for (const auto& text : broken) {
+        CHECK_FALSE(readStoredRules(text).has_value());
+        CHECK(error_kind::BadDocument == getLastError().kind);
+    }
+}
+
+TEST(store_documents, readsAnInstance)
+{
+    const auto record = readStoredInstance("i-1", goodEntry);
+    CHECK(record.has_value());
+    STRCMP_EQUAL("10.0.0.9:8080", formatAddress(record->target).c_str());
+    LONGS_EQUAL(90, record->slots);
+    CHECK_FALSE(record->isDraining);
+    DOUBLES_EQUAL(1500, record->coldFor.getCount(), 0.001);
+    CHECK_EQUAL(1700000000123U, record->bornAtMs);
+}
+
+TEST(store_documents, anEntryOfAnotherWriterNamesNoInstance)
+{
+    const std::string good = goodEntry;
+    const auto replaced = [&](const std::string& from, const std::string& to) {
+        auto text = good;
+        text.replace(text.find(from), from.size(), to);
+        return text;
+    };
+    const std::vector<std::string> forged { "", "\xff\xfe", "7", replaced("\"s1\"", "7"),
+        replaced("\"ready\"", "\"going\""), replaced("90", "\"90\""), replaced("90", "-1"),
+        replaced("90", "2.5"), replaced("\"10.0.0.9:8080\"", "\"here\""), replaced("1.5", "\"soon\""),
+        replaced("\"seq\":4", "\"seq\":null"), replaced("\"zone\":\"a\",", ""),
+        replaced("1700000000123", "\"then\""), replaced("\"v1\"", "1") };
+    for (const auto& text : forged)
+        CHECK_FALSE(readStoredInstance("i-1", text).has_value());
+}
--- /dev/null
+++ b/tests/platform/target_speech_test.cpp
@@ -0,0 +1,71 @@
+#include "platform/target_speech.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiagauge;
+
+TEST_GROUP(target_speech)
+{
+    target_protocol protocol = makePlatformProtocol();
+
+    static answer_head makeHead(int status, const std::vector<call_field>& fields)
+    {
+        answer_head head;
+        head.status = status;
+        for (const auto& field : fields)
+            head.fields.add(field.name, field.value);
+        return head;
+    }
+};
+
+TEST(target_speech, readsWhatAClientStates)
+{
+    call_fields fields;
+    fields.add("host", "shop.example:8080");
+    fields.add("request-id", "aa.bb.cc");
+    fields.add("Request-Deadline", "1500");
+    const auto terms = protocol.readClient(fields);
+    STRCMP_EQUAL("shop.example", terms.host.c_str());
+    STRCMP_EQUAL("aa.bb.cc", terms.requestId.c_str());
+    STRCMP_EQUAL("aa.bb", terms.parentId.c_str());
+    DOUBLES_EQUAL(1500, terms.timeLeft->getCount(), 0.001);
+}
+
+TEST(target_speech, ignoresADeadlineThatIsNoNumber)
+{
+    for (const char* text : { "", "soon", "-5", "1e999", "5 " }) {
+        call_fields fields;
+        fields.add("Request-Deadline", text);
+        CHECK_FALSE(protocol.readClient(fields).timeLeft.has_value());
+    }
+}
+
+TEST(target_speech, aClientCantStateWhatOnlyTheNodeMay)
+{
+    call_fields fields;
+    fields.add("Caller-Service", "forged");
+    fields.add("expect-instance", "i-9");
+    fields.add("FG-Call", "0 0 0");
+    fields.add("Accept", "*/*");
+    protocol.cleanClientFields(fields);
+    CHECK_EQUAL(1U, fields.getAll().size());
+    protocol.addTargetFields({ "i-1", milliseconds(700), "catalogue" }, fields);
+    STRCMP_EQUAL("i-1", fields.get("Expect-Instance").c_str());
+    STRCMP_EQUAL("700", fields.get("Request-Deadline").c_str());
+    STRCMP_EQUAL("catalogue", fields.get("Caller-Service").c_str());
+}
+
+TEST(target_speech, tellsWhatTheInstanceDidNotRun)
+{
+    CHECK(protocol.readAnswer(makeHead(503, { { "Not-Run", "1" } })).isRejected);
+    CHECK_FALSE(protocol.readAnswer(makeHead(503, {})).isRejected);
+    CHECK(protocol.readAnswer(makeHead(421, {})).isMisdirected);
+    LONGS_EQUAL(8, protocol.readAnswer(makeHead(200, { { "Server-Load", "3,0,8" } })).slots);
+    LONGS_EQUAL(0, protocol.readAnswer(makeHead(200, { { "Server-Load", "3,0,many" } })).slots);
+}
+
+TEST(target_speech, anAnswerToAnotherRequestIsTold)
+{
+    CHECK(protocol.isOwnAnswer(makeHead(200, { { "Request-Id", "a" } }), "a"));
+    CHECK_FALSE(protocol.isOwnAnswer(makeHead(200, { { "Request-Id", "b" } }), "a"));
+}
--- /dev/null
+++ b/tests/policy/instance_directory_test.cpp
@@ -0,0 +1,83 @@
+#include "policy/instance_directory.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiagauge;
+
+TEST_GROUP(instance_directory)
+{
+    instance_directory directory;
+    milliseconds now { 1000 };
+
+    static instance_record make(const std::string& id, const std::string& host = "10.0.0.1")
+    {
+        instance_record record;
+        record.id = id;
+        record.service = "orders";
+        record.target = { host, 80 };
+        record.zone = "a";
+        return record;
+    }
+};
+
+TEST(instance_directory, aListingReplacesWhatWasKnown)
+{
+    directory.takeListing({ make("one"), make("two") }, now);
+    directory.takeListing({ make("two") }, now);
+    CHECK(directory.find("one") == nullptr);
+    CHECK_EQUAL(1U, directory.findService("orders").size());
+}
+
+TEST(instance_directory, aRemovalHoldsAtOnceWhileThePlatformIsInContact)
+{
+    directory.takeListing({ make("one") }, now);
+    directory.remove("one", now);
+    CHECK(directory.find("one") == nullptr);
+}
+
+TEST(instance_directory, anEntryThatLapsedDuringAnOutageIsKeptUntilItCanBeBack)
+{
+    directory.takeListing({ make("one"), make("two") }, now);
+    directory.noteContactLost();
+    now = now + milliseconds(20000);
+    directory.noteContactRegained(now);
+    directory.takeListing({}, now);
+    CHECK(directory.find("one") != nullptr);
+    directory.put(make("one"), now + milliseconds(1900));
+    directory.tick(now + milliseconds(2000));
+    CHECK(directory.find("two") != nullptr);
+    directory.tick(now + milliseconds(3000));
+    CHECK(directory.find("one") != nullptr);
+    CHECK(directory.find("two") == nullptr);
+}
+
+TEST(instance_directory, nothingIsDroppedWhileThePlatformIsAway)
+{
+    directory.takeListing({ make("one") }, now);
+    directory.noteContactLost();
+    directory.remove("one", now);
+    directory.tick(now + milliseconds(100000));
+    CHECK(directory.find("one") != nullptr);
+}
+
+TEST(instance_directory, aNewStartUnderTheSameIdCountsAsNew)
+{
+    auto record = make("one");
+    record.bornAtMs = 5;
+    directory.put(record, now);
+    record.bornAtMs = 9;
+    record.coldFor = milliseconds(3000);
+    directory.put(record, now + milliseconds(50));
+    DOUBLES_EQUAL(1050, directory.find("one")->firstSeenAt.getCount(), 0.001);
+    DOUBLES_EQUAL(4050, directory.find("one")->coldUntil.getCount(), 0.001);
+}
+
+TEST(instance_directory, theYoungestInstanceOwnsAnAddressThatIsUsedAgain)
+{
+    auto older = make("older");
+    older.bornAtMs = 5;
+    auto younger = make("younger");
+    younger.bornAtMs = 6;
+    directory.takeListing({ younger, older }, now);
+    STRCMP_EQUAL("younger", directory.findByTarget({ "10.0.0.1", 80 }, "orders")->record.id.c_str());
+}
--- /dev/null
+++ b/tests/policy/instance_picker_test.cpp
@@ -0,0 +1,123 @@
+#include "core/error.h"
+#include "policy/instance_picker.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiagauge;
+
+TEST_GROUP(instance_picker)
+{
+    instance_directory directory;
+    instance_picker picker { { "a", { { "a", "west" }, { "b", "west" }, { "c", "east" } } },
+        [] { return 0.5; } };
+    milliseconds now { 100000 };
+
+    void list(const std::string& id, const std::string& zone, bool isDraining = false)
+    {
+        instance_record record;
+        record.id = id;
+        record.service = "orders";
+        record.zone = zone;
+        record.target = { "10.0.0." + std::to_string(directory.getEntries().size() + 1), 80 };
+        record.isDraining = isDraining;
+        directory.put(record, now);
+    }
+
+    /// An order: newcomers are tried only with requests that may be repeated.
+    std::string choose(std::vector<std::string> tried = {}, bool isIdempotent = false)
+    {
+        const auto* chosen
+            = picker.choose(now, { "orders", milliseconds(1000), isIdempotent, std::move(tried) }, directory);
+        return chosen ? chosen->record.id : std::string("none");
+    }
+
+    void end(const std::string& id, attempt_evidence evidence)
+    {
+        picker.onSend(id, now);
+        picker.onEnd(id, now, evidence);
+    }
+};
+
+TEST(instance_picker, prefersTheOwnZoneThenTheOwnRegion)
+{
+    list("far", "c");
+    list("near", "b");
+    list("own", "a");
+    STRCMP_EQUAL("own", choose().c_str());
+    STRCMP_EQUAL("near", choose({ "own" }).c_str());
+    STRCMP_EQUAL("far", choose({ "own", "near" }).c_str());
+    STRCMP_EQUAL("none", choose({ "own", "near", "far" }).c_str());
+    CHECK(error_kind::NoTarget == getLastError().kind);
+}
+
+TEST(instance_picker, leavesTheZoneOnceTheQueueThereCostsMore)
+{
+    list("own", "a");
+    list("near", "b");
+    picker.onReport("own", now, { 10, 0, 10, milliseconds(100) });
+    STRCMP_EQUAL("own", choose().c_str());
+    picker.onReport("own", now, { 10, 40, 10, milliseconds(100) });
+    STRCMP_EQUAL("near", choose().c_str());
+}
+
+TEST(instance_picker, anOldReportFades)
+{
+    list("own", "a");
+    list("near", "b");
+    picker.onReport("own", now, { 10, 40, 10, milliseconds(100) });
+    now = now + milliseconds(600);
+    STRCMP_EQUAL("own", choose().c_str());
+}
+
+TEST(instance_picker, sendsNothingToDrainingInstances)
+{
+    list("own", "a", true);
+    list("near", "b");
+    STRCMP_EQUAL("near", choose().c_str());
+    STRCMP_EQUAL("none", choose({ "near" }).c_str());
+}
+
+TEST(instance_picker, avoidsAnUnreachableInstanceForAWhile)
+{
+    list("own", "a");
+    list("near", "b");
+    end("own", attempt_evidence::Unreachable);
+    STRCMP_EQUAL("near", choose().c_str());
+    now = now + milliseconds(300);
+    STRCMP_EQUAL("own", choose().c_str());
+}
+
+TEST(instance_picker, triesAnAvoidedInstanceRatherThanNone)
+{
+    list("own", "a");
+    end("own", attempt_evidence::Unreachable);
+    STRCMP_EQUAL("own", choose().c_str());
+}
+
+TEST(instance_picker, avoidsAFailingInstanceAndComesBackToIt)
+{
+    list("own", "a");
+    list("near", "b");
+    for (int count = 0; count < 20; ++count)
+        end("own", attempt_evidence::Failure);
+    STRCMP_EQUAL("near", choose().c_str());
+    now = now + milliseconds(20000);
+    STRCMP_EQUAL("own", choose().c_str());
+}
+
+TEST(instance_picker, aCancelledAttemptSaysNothing)
+{
+    list("own", "a");
+    list("near", "b");
+    for (int count = 0; count < 20; ++count)
+        end("own", attempt_evidence::Cancelled);
+    STRCMP_EQUAL("own", choose().c_str());
+}
+
+TEST(instance_picker, anIdleNewcomerOfTheZoneGetsARepeatableRequest)
+{
+    list("own", "a");
+    end("own", attempt_evidence::Success);
+    list("joined", "a");
+    STRCMP_EQUAL("joined", choose({}, true).c_str());
+}
--- /dev/null
+++ b/tests/transport/http_server_test.cpp
@@ -0,0 +1,175 @@
+#include "transport/http_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiagauge;
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+constexpr std::chrono::seconds longestRun { 20 };
+
+answer_head makeHead(int status)
+{
+    answer_head head;
+    head.status = status;
+    return head;
+}
+
+} // namespace
+
+TEST_GROUP(http_server)
+{
+    asio::io_context io;
+    std::vector<std::shared_ptr<incoming_call>> calls;
+    http_server server { io, fuchsiagauge::clock::makeBoot(), 100,
+        [this](const std::shared_ptr<incoming_call>& call) { calls.push_back(call); } };
+    tcp::socket client { io };
+    std::string received;
+    bool isClosed = false;
+
+    void setup() override
+    {
+        const auto bound = server.open({ "127.0.0.1", 0 });
+        client.connect({ asio::ip::make_address(bound->host), bound->port });
+        receive();
+    }
+
+    void teardown() override
+    {
+        server.close();
+        client.close();
+        io.poll();
+    }
+
+    void receive()
+    {
+        client.async_read_some(
+            asio::buffer(m_piece), [this](const boost::system::error_code& code, std::size_t count) {
+                received.append(m_piece, count);
+                if (code)
+                    isClosed = true;
+                else
+                    receive();
+            });
+    }
+
+    void sendBytes(const std::string& text) { asio::write(client, asio::buffer(text)); }
+
+    template <typename Condition> void runUntil(Condition isMet)
+    {
+        const auto end = std::chrono::steady_clock::now() + longestRun;
+        while (!isMet() && std::chrono::steady_clock::now() < end)
+            io.run_one_for(std::chrono::milliseconds(50));
+        CHECK(isMet());
+    }
+
+    bool hasReceived(const std::string& text) const { return received.find(text) != std::string::npos; }
+
+    char m_piece[4096];
+};
+
+TEST(http_server, answersInTheOrderOfTheRequests)
+{
+    sendBytes("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    runUntil([&] { return calls.size() == 2; });
+    calls[1]->answer(makeHead(200), "second");
+    io.poll();
+    CHECK(received.empty());
+    calls[0]->answer(makeHead(200), "first.");
+    runUntil([&] { return hasReceived("second"); });
+    CHECK(received.find("first.") < received.find("second"));
+}
+
+TEST(http_server, readsABodyInChunks)
+{
+    sendBytes(
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
+    runUntil([&] { return calls.size() == 1; });
+    STRCMP_EQUAL("abcde", calls[0]->getRequest().body.c_str());
+    CHECK(calls[0]->getRequest().fields.find("transfer-encoding") == nullptr);
+}
+
+TEST(http_server, tellsACallThatItsClientHasLeft)
+{
+    sendBytes("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    runUntil([&] { return calls.size() == 1; });
+    bool hasLeft = false;
+    calls[0]->setLeaveHook([&] { hasLeft = true; });
+    client.shutdown(tcp::socket::shutdown_both);
+    runUntil([&] { return hasLeft; });
+    CHECK(calls[0]->isEnded());
+    calls[0]->answer(makeHead(200), "too late");
+}
+
+TEST(http_server, aDroppedCallClosesTheConnectionWithoutAnAnswer)
+{
+    sendBytes("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    runUntil([&] { return calls.size() == 1; });
+    calls[0]->drop();
+    runUntil([&] { return isClosed; });
+    CHECK(received.empty());
+}
+
+TEST(http_server, refusesWhatBreaksTheProtocolOrItsLimits)
+{
+    client_limits limits;
+    limits.bodyBytes = 10;
+    server.setLimits(limits);
+    sendBytes("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab");
+    runUntil([&] { return calls.size() == 1; });
+    calls[0]->answer(makeHead(204), {});
+    sendBytes("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n");
+    runUntil([&] { return isClosed; });
+    CHECK(hasReceived("413"));
+    CHECK_EQUAL(1U, calls.size());
+}
+
+TEST(http_server, aSmuggledRequestIsRefused)
+{
+    sendBytes(
+        "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    runUntil([&] { return isClosed; });
+    CHECK(hasReceived("400"));
+    CHECK(calls.empty());
+}
+
+TEST(http_server, closesWithTheNextAnswerOnceItIsClosing)
+{
+    sendBytes("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    runUntil([&] { return calls.size() == 1; });
+    server.beginClosing();
+    calls[0]->answer(makeHead(200), "whole");
+    runUntil([&] { return isClosed; });
+    CHECK(hasReceived("Connection: close"));
+    CHECK(hasReceived("whole"));
+}
+
+TEST(http_server, leavesTheBodyOutOfTheAnswerToHead)
+{
+    sendBytes("HEAD /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    runUntil([&] { return calls.size() == 1; });
+    auto head = makeHead(200);
+    head.contentLength = 5;
+    calls[0]->answer(head, "12345");
+    runUntil([&] { return hasReceived("\r\n\r\n"); });
+    CHECK(hasReceived("Content-Length: 5"));
+    CHECK_FALSE(hasReceived("12345"));
+}
+
+TEST(http_server, letsAClientSendABodyItAskedFor)
+{
+    sendBytes("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n");
+    runUntil([&] { return hasReceived("100 Continue"); });
+    sendBytes("ab");
+    runUntil([&] { return calls.size() == 1; });
+}
