tests: Let a scripted target outlive its pending reads

Cause: node_tests aborted (unaligned tcache chunk): the teardown freed a connection while its read was pending. A fault of the test, not of the pool.

--- a/tests/transport/outgoing_pool_test.cpp
+++ b/tests/transport/outgoing_pool_test.cpp
@@ -52,8 +52,10 @@
     {
         pool.reset();
         acceptor.close();
-        connections.clear();
+        for (auto& one : connections)
+            one.socket.close();
         io.poll();
+        connections.clear();
     }
 
     void accept()
