--- a/core/decision_log.h
+++ b/core/decision_log.h
@@ -26,7 +26,7 @@
     InstanceChanged, ///< An instance joined, drains or is gone.
     InstanceAvoided, ///< An instance gets no requests for a while.
     RequestRefused, ///< Not run, and the client was told so.
-    RequestFailed, ///< Ended without the instance's answer after it may have run.
+    RequestFailed, ///< Ended with a failure after it may have run, the instance's own or the node's.
     RequestRepeated, ///< Sent to another instance.
     RequestCancelled, ///< The client left first.
     RequestSpilled, ///< Sent to another availability zone or region.
@@ -70,7 +70,8 @@
     /// @param fields what decided it, with its age or version, and the outcome.
     void write(decision kind, const std::string& request, std::initializer_list<log_field> fields);
 
-    /// @return whether a line of that kind would be written now; saves the work of making its fields.
+    /// @return whether a line of that kind would be written now; saves the work of making its fields. A line
+    /// that is not wanted counts as left out.
     bool isWanted(decision kind);
 
     /// Sends waiting lines and tells what was left out; called every few milliseconds.
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -279,10 +279,14 @@
     const auto now = m_context.time.now();
     const auto latency = now - m_incoming->getArrival();
     m_context.counters.countRequest(m_route->name, result.head.status, {}, latency, now);
-    if (m_context.log.isWanted(decision::RequestServed)) {
-        m_context.log.write(decision::RequestServed, m_terms.requestId,
-            { { "route", m_route->name }, { "instance", m_instance },
-                { "status", static_cast<double>(result.head.status) }, { "ms", latency.getCount() } });
+    const auto kind
+        = result.head.status >= firstServerErrorStatus ? decision::RequestFailed : decision::RequestServed;
+    if (m_context.log.isWanted(kind)) {
+        m_context.log.write(kind, m_terms.requestId,
+            { { "route", m_route->name }, { "service", m_service }, { "instance", m_instance },
+                { "reason", std::string(result.isShedBelow ? "no room further down" : "instance") },
+                { "status", static_cast<double>(result.head.status) }, { "ms", latency.getCount() },
+                { "attempts", static_cast<double>(m_choices) } });
     }
     if (result.isShedBelow)
         noteShed();
--- a/tests/transport/outgoing_pool_test.cpp
+++ b/tests/transport/outgoing_pool_test.cpp
@@ -135,6 +135,19 @@
     CHECK_EQUAL(1U, connections.size());
 }
 
+TEST(outgoing_pool, readsAnAnswerThatComesInPieces)
+{
+    send("a");
+    answer("HTTP/1.1 200 OK\r\nid: a\r\nTransfer-En");
+    for (const char* piece :
+        { "coding: chunked\r\n\r", "\n3", "\r\nabc\r", "\n2\r\nd", "e\r\n0\r\n", "\r\n" }) {
+        for (int turn = 0; turn < 20; ++turn)
+            io.run_one_for(std::chrono::milliseconds(1));
+        asio::write(connections.back().socket, asio::buffer(std::string(piece)));
+    }
+    expectWhole("abcde");
+}
+
 TEST(outgoing_pool, leavesOutALateAnswerToAnotherRequest)
 {
     send("a");
--- a/transport/outgoing_pool.cpp
+++ b/transport/outgoing_pool.cpp
@@ -50,7 +50,7 @@
     void onWritable(boost::system::error_code code);
     void read();
     void onRead(const boost::system::error_code& code, std::size_t count);
-    void parse(std::size_t count);
+    std::size_t parse(const char* data, std::size_t size);
     bool takeMessage();
     void onEnd(const boost::system::error_code& code);
     void finish();
@@ -64,6 +64,7 @@
     std::unique_ptr<answer_parser> m_parser;
     std::array<char, readBytes> m_readBuffer;
     std::string m_text; ///< Request bytes that are not yet sent.
+    std::string m_unparsed; ///< The part of a head or of a chunk's head that has come so far.
     milliseconds m_begunAt;
     milliseconds m_idleSince;
     milliseconds m_idleLimit { 1e9 };
@@ -134,6 +135,7 @@
     ++m_callNumber;
     m_hasSent = false;
     m_sawForeignAnswer = false;
+    m_unparsed.clear();
     m_begunAt = m_owner->time.now();
     ++m_owner->busyCount;
     resetParser();
@@ -218,36 +220,41 @@
         onEnd(code);
         return;
     }
-    parse(count);
+    if (m_unparsed.empty()) {
+        const auto used = parse(m_readBuffer.data(), count);
+        m_unparsed.assign(m_readBuffer.data() + used, count - used);
+    } else {
+        m_unparsed.append(m_readBuffer.data(), count);
+        const auto used = parse(m_unparsed.data(), m_unparsed.size());
+        m_unparsed.erase(0, used);
+    }
     if (!m_isClosed)
         read();
 }
 
-void outgoing_pool::connection::parse(std::size_t count)
+/// @return the bytes that were used; the rest is given again with what follows.
+std::size_t outgoing_pool::connection::parse(const char* data, std::size_t size)
 {
     std::size_t used = 0;
-    while (used < count) {
+    while (used < size) {
         boost::system::error_code code;
-        const auto step = m_parser->put(asio::buffer(m_readBuffer.data() + used, count - used), code);
+        const auto step = m_parser->put(asio::buffer(data + used, size - used), code);
         used += step;
-        if (code == boost::beast::http::error::need_more) {
-            code = {};
-            if (step == 0)
-                break;
-        }
-        if (code) {
+        const bool needsMore = code == boost::beast::http::error::need_more;
+        if (code && !needsMore) {
             failCall(error_kind::BrokenAnswer, code.message());
-            return;
+            return size;
         }
         if (m_parser->is_done() && takeMessage()) {
-            if (used < count)
+            if (used < size)
                 m_sawForeignAnswer = true;
             finish();
-            return;
+            return size;
         }
+        if (needsMore && step == 0)
+            return used;
     }
-    if (used < count)
-        failCall(error_kind::BrokenAnswer, "bytes of the head were left over");
+    return used;
 }
 
 /// @return whether the message is the answer to the call; others are left out.
