--- a/core/peer_envelope.cpp
+++ b/core/peer_envelope.cpp
@@ -15,7 +15,7 @@
     constexpr std::size_t replyParts = 6;
     constexpr const char* noText = "-";
 
-    constexpr std::array outcomeNames { "answered", "no-room", "rejected", "leaving", "unreachable",
+    constexpr std::array outcomeNames { "answered", "no-room", "shed", "rejected", "leaving", "unreachable",
         "misdirected", "lost", "timed-out" };
 
     std::vector<std::string_view> split(std::string_view text)
@@ -56,6 +56,7 @@
 {
     switch (outcome) {
     case attempt_outcome::NoRoom:
+    case attempt_outcome::Shed:
     case attempt_outcome::Rejected:
     case attempt_outcome::Leaving:
     case attempt_outcome::Unreachable:
@@ -106,7 +107,7 @@
 {
     return std::string(getAttemptOutcomeName(reply.outcome)) + ' ' + std::to_string(reply.busy) + ' '
         + std::to_string(reply.waiting) + ' ' + std::to_string(reply.slots) + ' '
-        + writeTime(reply.serviceTime) + (reply.isShedBelow ? " 1" : " 0");
+        + writeTime(reply.serviceTime) + ' ' + std::to_string(static_cast<int>(reply.below));
 }
 
 std::optional<peer_reply> parsePeerReply(const std::string& value)
@@ -119,7 +120,8 @@
     const auto waiting = readNumber(parts[2]);
     const auto slots = readNumber(parts[3]);
     const auto serviceTime = readNumber(parts[4]);
-    if (!busy || !waiting || !slots || !serviceTime)
+    const auto below = readNumber(parts[5]);
+    if (!busy || !waiting || !slots || !serviceTime || !below)
         return fail(error_kind::BadPeerMessage, "not a number in a reply envelope: " + value);
     peer_reply reply;
     std::size_t index = 0;
@@ -132,7 +134,9 @@
     reply.waiting = static_cast<int>(*waiting);
     reply.slots = static_cast<int>(*slots);
     reply.serviceTime = milliseconds(static_cast<double>(*serviceTime));
-    reply.isShedBelow = parts[5] == "1";
+    if (*below < 0 || *below > static_cast<long>(failure_below::NoRoom))
+        return fail(error_kind::BadPeerMessage, "unknown failure in a reply envelope: " + value);
+    reply.below = static_cast<failure_below>(*below);
     return reply;
 }
 
--- a/core/peer_envelope.h
+++ b/core/peer_envelope.h
@@ -24,6 +24,7 @@
 enum class attempt_outcome {
     Answered, ///< The instance answered.
     NoRoom, ///< The instance's node had no slot in time; the instance saw nothing.
+    Shed, ///< The services below are overloaded, so the instance's node let nothing more in; it saw nothing.
     Rejected, ///< The instance had no room; it did not run the request.
     Leaving, ///< The instance takes no new work; it saw nothing.
     Unreachable, ///< The instance or its node could not be reached; it saw nothing.
@@ -38,6 +39,13 @@
 /// @return whether the instance certainly has not run the request and never will.
 bool hasNotRun(attempt_outcome outcome);
 
+/// Why a call further down, which an instance made for a request, was refused; the graver one is greater.
+enum class failure_below {
+    None,
+    Rejected, ///< An instance refused it by itself.
+    NoRoom, ///< No instance had a slot in time.
+};
+
 /// What the node beside an instance says along with its answer.
 struct peer_reply {
     attempt_outcome outcome = attempt_outcome::Answered;
@@ -45,7 +53,7 @@
     int waiting = 0; ///< Requests that wait for a slot.
     int slots = 1;
     milliseconds serviceTime; ///< Smoothed time that a request holds a slot.
-    bool isShedBelow = false; ///< The instance failed the request because one of its calls found no room.
+    failure_below below = failure_below::None; ///< Why a call that the instance made for it was refused.
 };
 
 /// Header fields of the envelope between two nodes.
--- a/mesh/inbound_call.cpp
+++ b/mesh/inbound_call.cpp
@@ -21,7 +21,7 @@
         reply.waiting = result.load.waiting;
         reply.slots = result.load.slots;
         reply.serviceTime = result.load.serviceTime;
-        reply.isShedBelow = result.isShedBelow;
+        reply.below = result.below;
         const bool hasAnswer = result.outcome == attempt_outcome::Answered;
         if (!hasAnswer) {
             context.counters.gateRefusals.add(result.outcome == attempt_outcome::NoRoom ? 1 : 0);
--- a/mesh/local_target.cpp
+++ b/mesh/local_target.cpp
@@ -12,6 +12,8 @@
     constexpr milliseconds connectTimeout { 300 }; ///< The instance is on the same VM.
     constexpr milliseconds idleTimeout { 5000 }; ///< Used where the instance states none.
 
+    constexpr int gatewayTimeoutStatus = 504;
+
     pool_limits makePoolLimits()
     {
         pool_limits limits;
@@ -22,10 +24,11 @@
 
 } // namespace
 
-local_target::local_target(
-    boost::asio::io_context& io, clock time, address target, const target_protocol& protocol)
+local_target::local_target(boost::asio::io_context& io, clock time, address target,
+    const target_protocol& protocol, std::function<double()> random)
     : m_time(std::move(time))
     , m_protocol(protocol)
+    , m_random(std::move(random))
     , m_pool(io, m_time, std::move(target), makePoolLimits())
 {
 }
@@ -40,10 +43,16 @@
     item.expiresAt = now + call.timeLeft;
     item.onEnd = std::move(onEnd);
     m_runs.emplace(id, std::move(item));
+    if (call.depth == 0 && !m_entry.isAdmitted(call.priority, m_random())) {
+        refuse(id, attempt_outcome::Shed);
+        return id;
+    }
     m_gate.submit(now, { id, call.priority, call.depth, now + call.startWithin },
         [this, id](std::optional<error_kind> refusal) {
             if (refusal)
-                refuse(id, *refusal);
+                refuse(id,
+                    *refusal == error_kind::TargetLeaving ? attempt_outcome::Leaving
+                                                          : attempt_outcome::NoRoom);
             else
                 start(id);
         });
@@ -74,11 +83,13 @@
     return parent_run { run.call.priority, run.call.depth, run.call.isRepeat, run.expiresAt };
 }
 
-void local_target::noteShedBelow(const std::string& requestId)
+void local_target::noteFailureBelow(const std::string& requestId, failure_below failure)
 {
     const auto found = m_startedByRequest.find(requestId);
-    if (found != m_startedByRequest.end())
-        m_runs.at(found->second).isShedBelow = true;
+    if (found == m_startedByRequest.end())
+        return;
+    auto& known = m_runs.at(found->second).below;
+    known = std::max(known, failure);
 }
 
 /// Takes a request out of the lists.
@@ -95,6 +106,7 @@
 void local_target::tick()
 {
     m_gate.tick(m_time.now());
+    m_entry.tick(m_time.now());
     m_pool.tick();
 }
 
@@ -128,14 +140,14 @@
         std::move(outgoing), [this, id](outgoing_result result) { finish(id, std::move(result)); });
 }
 
-void local_target::refuse(std::uint64_t id, error_kind why)
+void local_target::refuse(std::uint64_t id, attempt_outcome why)
 {
     const auto found = m_runs.find(id);
     if (found == m_runs.end())
         return;
     const auto onEnd = take(found).onEnd;
     attempt_result result;
-    result.outcome = why == error_kind::TargetLeaving ? attempt_outcome::Leaving : attempt_outcome::NoRoom;
+    result.outcome = why;
     result.load = m_gate.getReport();
     result.hasLoad = true;
     onEnd(std::move(result));
@@ -150,15 +162,27 @@
     const auto run = take(found);
     const auto heldFor = now - run.startedAt;
     auto result = readResult(std::move(outgoing));
-    result.isShedBelow = run.isShedBelow;
+    result.below = run.below;
     const bool isSample
         = result.outcome == attempt_outcome::Answered || result.outcome == attempt_outcome::TimedOut;
     m_gate.finish(now, isSample ? std::optional(heldFor) : std::nullopt);
     result.load = m_gate.getReport();
     result.hasLoad = true;
+    noteEntryEnd(run.call, result);
     run.onEnd(std::move(result));
 }
 
+void local_target::noteEntryEnd(const peer_call& call, const attempt_result& result)
+{
+    if (call.depth > 0)
+        return;
+    const bool isAnswered = result.outcome == attempt_outcome::Answered;
+    const bool isLate = result.outcome == attempt_outcome::TimedOut
+        || (isAnswered && result.head.status == gatewayTimeoutStatus);
+    if (isAnswered || isLate)
+        m_entry.onEnd(call.priority, isLate || result.below == failure_below::NoRoom);
+}
+
 attempt_result local_target::readResult(outgoing_result outgoing)
 {
     attempt_result result;
--- a/mesh/local_target.h
+++ b/mesh/local_target.h
@@ -2,6 +2,7 @@
 
 #include "core/peer_envelope.h"
 #include "mesh/target_protocol.h"
+#include "policy/entry_admission.h"
 #include "policy/slot_gate.h"
 #include "transport/outgoing_pool.h"
 
@@ -23,7 +24,7 @@
     std::string detail; ///< Why there is no answer.
     slot_report load; ///< The instance's load at the end.
     bool hasLoad = false;
-    bool isShedBelow = false; ///< The instance failed the request because one of its calls found no room.
+    failure_below below = failure_below::None; ///< Why a call that the instance made for it was refused.
 };
 
 /// A request that runs at the local instance, as its calls inherit from it.
@@ -41,7 +42,9 @@
 /// Every request to the instance passes here, whichever node it came in by, so the gate sees the whole load.
 class local_target {
 public:
-    local_target(boost::asio::io_context& io, clock time, address target, const target_protocol& protocol);
+    /// @param random gives numbers in [0, 1).
+    local_target(boost::asio::io_context& io, clock time, address target, const target_protocol& protocol,
+        std::function<double()> random);
 
     /// Runs a request once a slot is free.
     /// @param request the request with the client's fields.
@@ -58,8 +61,8 @@
     /// @return what its calls inherit, if it runs at the instance now.
     std::optional<parent_run> findRun(const std::string& requestId) const;
 
-    /// Takes in that a call of a request that runs here found no room.
-    void noteShedBelow(const std::string& requestId);
+    /// Takes in that a call of a request that runs here was refused.
+    void noteFailureBelow(const std::string& requestId, failure_below failure);
 
     /// Ends what has waited or run for too long.
     void tick();
@@ -73,6 +76,9 @@
     /// Closes kept connections, as after the instance has been replaced.
     void forgetConnections();
 
+    /// @return the share of a priority's requests that may enter the call graph here.
+    double getEntryShare(int priority) const { return m_entry.getShare(priority); }
+
     /// @return the gate's state.
     slot_report getLoad() const { return m_gate.getReport(); }
 
@@ -91,18 +97,21 @@
         outgoing_pool::handle sent;
         attempt_hook onEnd;
         bool isStarted = false;
-        bool isShedBelow = false;
+        failure_below below = failure_below::None;
     };
 
     void start(std::uint64_t id);
-    void refuse(std::uint64_t id, error_kind why);
+    void refuse(std::uint64_t id, attempt_outcome why);
     running take(std::unordered_map<std::uint64_t, running>::iterator position);
     void finish(std::uint64_t id, outgoing_result result);
     attempt_result readResult(outgoing_result result);
+    void noteEntryEnd(const peer_call& call, const attempt_result& result);
 
     clock m_time;
     const target_protocol& m_protocol;
     slot_gate m_gate;
+    entry_admission m_entry;
+    std::function<double()> m_random;
     outgoing_pool m_pool;
     std::unordered_map<std::uint64_t, running> m_runs;
     std::unordered_map<std::string, std::uint64_t> m_startedByRequest;
--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -101,7 +101,7 @@
           [this](const instance_directory::entry& known, const char* what) { onInstanceChange(known, what); })
     , picker(config.place, random)
     , repeats(config.repeats)
-    , target(context, time, config.target, protocol)
+    , target(context, time, config.target, protocol, random)
     , peers(context, time)
     , parts { config, time, protocol, std::make_shared<const traffic_rules>(), directory, picker, repeats,
         splits, target, peers, counters, log, random }
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -9,6 +9,9 @@
     constexpr int maxChoices = 4; ///< Instances chosen for one request, refusals at the gate included.
     constexpr double queueShare = 0.7; ///< Of the latency target; the rest is left for the work itself.
     constexpr milliseconds shortestAttempt { 5 }; ///< With less time left no attempt is made.
+    constexpr double wholeBudget = 1;
+    constexpr double importantCallShare = 0.9;
+    constexpr double otherCallShare = 0.5;
     constexpr int notFoundStatus = 404;
     constexpr int unavailableStatus = 503;
     constexpr int badGatewayStatus = 502;
@@ -25,8 +28,10 @@
         case attempt_outcome::Answered:
             if (result.head.status < firstServerErrorStatus)
                 return attempt_evidence::Success;
-            return result.isShedBelow ? attempt_evidence::Cancelled : attempt_evidence::Failure;
+            return result.below == failure_below::None ? attempt_evidence::Failure
+                                                       : attempt_evidence::Cancelled;
         case attempt_outcome::NoRoom:
+        case attempt_outcome::Shed:
             return attempt_evidence::Refusal;
         case attempt_outcome::Leaving:
             return attempt_evidence::Leaving;
@@ -123,8 +128,7 @@
         fail(late);
         return;
     }
-    const pick_request wanted { m_service, m_route->latencyTarget, m_route->isIdempotent, m_tried };
-    const auto* chosen = m_context.picker.choose(now, wanted, m_context.directory);
+    const auto* chosen = choose(now);
     if (!chosen) {
         attempt_result none;
         none.outcome = attempt_outcome::Unreachable;
@@ -135,6 +139,19 @@
     send(*chosen);
 }
 
+/// Chooses the instance for the next attempt. Once as many instances have seen the request as the route
+/// allows, only one that refused it may be asked again.
+const instance_directory::entry* outbound_call::choose(milliseconds now)
+{
+    if (static_cast<int>(m_seenBy.size()) >= m_route->maxInstances) {
+        const auto* again = m_context.directory.find(m_seenBy.back());
+        if (again && !again->record.isDraining && !m_mayHaveRun)
+            return again;
+    }
+    const pick_request wanted { m_service, m_route->latencyTarget, m_route->isIdempotent, m_tried };
+    return m_context.picker.choose(now, wanted, m_context.directory);
+}
+
 void outbound_call::send(const instance_directory::entry& chosen)
 {
     const auto now = m_context.time.now();
@@ -146,7 +163,7 @@
     peer_call call;
     call.priority = m_parent ? m_parent->priority : m_route->priority;
     call.depth = m_parent ? m_parent->depth + 1 : 0;
-    call.isRepeat = m_attempts > 0 || (m_parent && m_parent->isRepeat);
+    call.isRepeat = !m_seenBy.empty() || (m_parent && m_parent->isRepeat);
     call.startWithin = std::max(milliseconds(), getStartBy() - now);
     call.timeLeft = m_expiresAt - now;
     call.isIdempotent = m_route->isIdempotent;
@@ -205,7 +222,7 @@
     result.outcome = reply->outcome;
     result.load = { reply->busy, reply->waiting, reply->slots, reply->serviceTime };
     result.hasLoad = true;
-    result.isShedBelow = reply->isShedBelow;
+    result.below = reply->below;
     outgoing.head.fields.erase(peer_field::reply);
     result.head = std::move(outgoing.head);
     if (result.outcome == attempt_outcome::Answered || result.outcome == attempt_outcome::Rejected)
@@ -249,20 +266,24 @@
 /// the fleet's budget; what was refused before it reached one does not.
 bool outbound_call::mayRepeat(const attempt_result& result)
 {
-    const bool wasSeen = result.outcome != attempt_outcome::NoRoom
+    const bool wasSeen = result.outcome != attempt_outcome::NoRoom && result.outcome != attempt_outcome::Shed
         && result.outcome != attempt_outcome::Leaving && result.outcome != attempt_outcome::Unreachable;
-    if (wasSeen)
-        ++m_attempts;
-    if (m_choices >= maxChoices || m_attempts >= m_route->maxInstances)
+    const bool isNewInstance = std::find(m_seenBy.begin(), m_seenBy.end(), m_instance) == m_seenBy.end();
+    if (wasSeen && isNewInstance)
+        m_seenBy.push_back(m_instance);
+    if (m_choices >= maxChoices || result.outcome == attempt_outcome::Shed)
+        return false;
+    const bool isUsedUp = static_cast<int>(m_seenBy.size()) >= m_route->maxInstances;
+    if (isUsedUp && result.outcome != attempt_outcome::Rejected)
         return false;
     const auto now = m_context.time.now();
     if (m_expiresAt - now < shortestAttempt)
         return false;
     const bool mayRunAgain = m_route->isIdempotent || hasNotRun(result.outcome);
-    // Where a call further down found no room, a repeat would only add to the load there.
-    if (!mayRunAgain || result.isShedBelow)
+    // Where a call further down was refused, a repeat would only add to the load there.
+    if (!mayRunAgain || result.below != failure_below::None)
         return false;
-    if (wasSeen && !m_context.repeats.tryTake(m_service, now))
+    if (wasSeen && !m_context.repeats.tryTake(m_service, now, getRepeatShare()))
         return false;
     if (wasSeen) {
         m_context.counters.repeats.add();
@@ -274,6 +295,15 @@
     return true;
 }
 
+/// The part of the budget up to which this request may take from it: a repeat of a request that enters here
+/// can save it alone, one of a call further down only together with its siblings.
+double outbound_call::getRepeatShare() const
+{
+    if (!m_parent)
+        return wholeBudget;
+    return m_parent->priority == 0 ? importantCallShare : otherCallShare;
+}
+
 void outbound_call::answer(const attempt_result& result)
 {
     const auto now = m_context.time.now();
@@ -284,21 +314,21 @@
     if (m_context.log.isWanted(kind)) {
         m_context.log.write(kind, m_terms.requestId,
             { { "route", m_route->name }, { "service", m_service }, { "instance", m_instance },
-                { "reason", std::string(result.isShedBelow ? "no room further down" : "instance") },
+                { "reason",
+                    std::string(result.below == failure_below::None ? "instance" : "refused further down") },
                 { "status", static_cast<double>(result.head.status) }, { "ms", latency.getCount() },
                 { "attempts", static_cast<double>(m_choices) } });
     }
-    if (result.isShedBelow)
-        noteShed();
+    noteFailureBelow(result.below);
     end();
     m_incoming->answer(result.head, result.body);
 }
 
-/// Tells the request that this call is made for that a failure of it is due to overload.
-void outbound_call::noteShed()
+/// Tells the request that this call is made for why a failure of it is not its instance's.
+void outbound_call::noteFailureBelow(failure_below failure)
 {
-    if (m_parent)
-        m_context.target.noteShedBelow(m_terms.parentId);
+    if (m_parent && failure != failure_below::None)
+        m_context.target.noteFailureBelow(m_terms.parentId, failure);
 }
 
 /// Ends the request without an instance's answer. It is refused only if no instance can have run it.
@@ -306,7 +336,8 @@
 {
     const std::string word = getAttemptOutcomeName(last.outcome);
     if (!m_mayHaveRun) {
-        noteShed();
+        const bool isRejected = last.outcome == attempt_outcome::Rejected;
+        noteFailureBelow(isRejected ? failure_below::Rejected : failure_below::NoRoom);
         answerError(unavailableStatus, word, last.detail, true);
         return;
     }
--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -35,7 +35,9 @@
 private:
     bool route();
     void inherit();
-    void noteShed();
+    void noteFailureBelow(failure_below failure);
+    const instance_directory::entry* choose(milliseconds now);
+    double getRepeatShare() const;
     void attempt();
     void send(const instance_directory::entry& chosen);
     void sendToPeer(const instance_directory::entry& chosen, const peer_call& call);
@@ -59,11 +61,11 @@
     std::optional<parent_run> m_parent; ///< The request that the local instance makes this call for.
     std::string m_service;
     milliseconds m_expiresAt;
-    std::vector<std::string> m_tried;
+    std::vector<std::string> m_tried; ///< Instances that are not chosen again.
+    std::vector<std::string> m_seenBy; ///< Instances that may have seen the request.
     std::string m_instance; ///< Of the attempt under way.
     outgoing_pool::handle m_peerCall;
     std::uint64_t m_localRun = 0; ///< 0: none.
-    int m_attempts = 0; ///< Attempts that an instance may have seen.
     int m_choices = 0; ///< Instances chosen.
     bool m_hasOpenAttempt = false;
     bool m_mayHaveRun = false;
--- a/policy/instance_picker.cpp
+++ b/policy/instance_picker.cpp
@@ -10,8 +10,8 @@
 namespace {
 
     /// Shares of the latency target: the wait in the own zone that is borne before another is used.
-    constexpr double otherZoneShare = 0.15;
-    constexpr double otherRegionShare = 0.5;
+    constexpr double otherZoneShare = 0.05;
+    constexpr double otherRegionShare = 0.4;
     /// Cost of a sure failure, in latency targets: a failed attempt costs the request its value.
     constexpr double failureTargets = 4;
     constexpr double failureWeight = 0.1; ///< Of the newest outcome: about the last ten attempts count.
--- a/policy/repeat_budget.cpp
+++ b/policy/repeat_budget.cpp
@@ -6,9 +6,9 @@
 namespace {
 
     constexpr int slicesPerWindow = 20;
-    /// Part of the budget that is spent; the rest covers repeats further down the call graph, which count at
-    /// the services that they reach, and arrivals that another node sees in its own window.
-    constexpr double spentShare = 0.6;
+    /// Part of the budget that is spent. The rest covers nodes that have restarted and no longer know what
+    /// they spent, and repeats further down the call graph, which are sent whatever the budget there holds.
+    constexpr double spentShare = 0.8;
 
 } // namespace
 
@@ -33,11 +33,11 @@
     ++known.slices.back().repeats;
 }
 
-bool repeat_budget::tryTake(const std::string& service, milliseconds now)
+bool repeat_budget::tryTake(const std::string& service, milliseconds now, double share)
 {
     auto& known = advance(service, now);
     const double allowed = spentShare * (m_limits.ratio * known.requests + m_limits.extra / m_nodeCount);
-    if (known.repeats + 1 > allowed)
+    if (known.repeats + 1 > allowed * share)
         return false;
     ++known.repeats;
     ++known.slices.back().repeats;
--- a/policy/repeat_budget.h
+++ b/policy/repeat_budget.h
@@ -36,8 +36,10 @@
     void onInheritedRepeat(const std::string& service, milliseconds now);
 
     /// Takes a repeat if the budget holds one.
+    /// @param share part of the node's budget up to which this one may take, 0 to 1; keeps the rest for
+    /// repeats that are worth more.
     /// @return whether the repeat may be sent.
-    bool tryTake(const std::string& service, milliseconds now);
+    bool tryTake(const std::string& service, milliseconds now, double share = 1);
 
 private:
     struct slice {
--- a/tests/core/peer_envelope_test.cpp
+++ b/tests/core/peer_envelope_test.cpp
@@ -34,11 +34,11 @@
         peer_reply reply;
         reply.outcome = static_cast<attempt_outcome>(index);
         reply.slots = 12;
-        reply.isShedBelow = index % 2 == 1;
+        reply.below = static_cast<failure_below>(index % 3);
         const auto read = parsePeerReply(formatPeerReply(reply));
         CHECK(read.has_value());
         CHECK(read->outcome == reply.outcome);
-        CHECK(read->isShedBelow == reply.isShedBelow);
+        CHECK(read->below == reply.below);
         LONGS_EQUAL(12, read->slots);
     }
 }
@@ -49,13 +49,15 @@
         CHECK_FALSE(parsePeerCall(text).has_value());
         CHECK(error_kind::BadPeerMessage == getLastError().kind);
     }
-    for (const char* text : { "", "answered", "answered 1 1 1", "perhaps 1 1 1 1 0", "answered 1 x 1 1 0" })
+    for (const char* text :
+        { "", "answered", "answered 1 1 1", "perhaps 1 1 1 1 0", "answered 1 x 1 1 0", "answered 1 1 1 1 9" })
         CHECK_FALSE(parsePeerReply(text).has_value());
 }
 
 TEST(peer_envelope, onlyOutcomesWithoutARunCountAsNotRun)
 {
     CHECK(hasNotRun(attempt_outcome::NoRoom));
+    CHECK(hasNotRun(attempt_outcome::Shed));
     CHECK(hasNotRun(attempt_outcome::Rejected));
     CHECK(hasNotRun(attempt_outcome::Misdirected));
     CHECK_FALSE(hasNotRun(attempt_outcome::Answered));
