--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -17,9 +17,9 @@
     constexpr int badGatewayStatus = 502;
     constexpr int gatewayTimeoutStatus = 504;
     constexpr int firstServerErrorStatus = 500;
-    /// Bounds of Retry-After. Clients wait at most a third of the time they have left.
-    constexpr double shortestRetryAfterS = 0.05;
-    constexpr double longestRetryAfterS = 1;
+    constexpr double retryAfterShare = 0.4; ///< Of the latency target, on average.
+    constexpr double longestRetryAfterS = 1; ///< Clients wait at most a third of the time they have left.
+    constexpr double unroutedRetryAfterS = 0.3; ///< A node that starts knows the routes within it.
     constexpr double msPerSecond = 1000;
 
     attempt_evidence getEvidence(const attempt_result& result)
@@ -363,15 +363,23 @@
     head.status = status;
     head.fields.add("Content-Type", "application/json");
     if (mayComeBack) {
-        const auto wait = m_context.picker.estimateWait(now, m_service, m_context.directory);
-        const double seconds = std::clamp(wait.getCount() / msPerSecond * (0.5 + m_context.random()),
-            shortestRetryAfterS, longestRetryAfterS);
-        head.fields.add("Retry-After", formatSeconds(seconds));
+        head.fields.add("Retry-After", formatSeconds(getRetryAfterS(now)));
     }
     end();
     m_incoming->answer(head, "{\"error\":\"" + word + "\"}\n");
 }
 
+/// Spreads the returns over a part of the latency target, so that most of them still come in time and not at
+/// once.
+double outbound_call::getRetryAfterS(milliseconds now) const
+{
+    if (!m_route)
+        return unroutedRetryAfterS;
+    const auto wait = m_context.picker.estimateWait(now, m_service, m_context.directory);
+    const auto pause = m_route->latencyTarget * (retryAfterShare * (0.5 + m_context.random())) + wait;
+    return std::min(pause.getCount() / msPerSecond, longestRetryAfterS);
+}
+
 void outbound_call::tick(milliseconds now)
 {
     if (m_isEnded || now < m_expiresAt)
--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -38,6 +38,7 @@
     void noteFailureBelow(failure_below failure);
     const instance_directory::entry* choose(milliseconds now);
     double getRepeatShare() const;
+    double getRetryAfterS(milliseconds now) const;
     void attempt();
     void send(const instance_directory::entry& chosen);
     void sendToPeer(const instance_directory::entry& chosen, const peer_call& call);
--- a/policy/entry_admission.cpp
+++ b/policy/entry_admission.cpp
@@ -7,9 +7,9 @@
 
     constexpr milliseconds window { 200 }; ///< About the run time of a request with its calls.
     constexpr int minEnded = 5; ///< With fewer ends in a window it goes on.
-    constexpr double toleratedShare = 0.05; ///< Of overload among the ends; a few come from slow runs.
-    constexpr double fallFactor = 0.5; ///< Part of the overloaded share that is taken off.
-    constexpr double riseStep = 0.04; ///< Per calm window: back to full within five seconds.
+    constexpr double toleratedShare = 0.2; ///< Of overload among the ends; a few come from slow runs.
+    constexpr double fallFactor = 0.5; ///< Part of the overloaded share beyond it that is taken off.
+    constexpr double riseStep = 0.1; ///< Per calm window: back to full within two seconds.
     constexpr double leastShare = 0.05; ///< What still enters tells when the overload is over.
 
 } // namespace
@@ -40,7 +40,8 @@
     if (known.ended >= minEnded) {
         const double overloaded = static_cast<double>(known.overloaded) / known.ended;
         if (overloaded > toleratedShare)
-            known.share = std::max(leastShare, known.share * (1 - fallFactor * overloaded));
+            known.share
+                = std::max(leastShare, known.share * (1 - fallFactor * (overloaded - toleratedShare)));
         else
             known.share = std::min(1.0, known.share + riseStep);
     } else if (known.overloaded == 0) {
--- a/policy/instance_directory.cpp
+++ b/policy/instance_directory.cpp
@@ -1,5 +1,6 @@
 #include "policy/instance_directory.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -96,14 +97,10 @@
 const instance_directory::entry* instance_directory::findByTarget(
     const address& target, const std::string& service) const
 {
-    const entry* best = nullptr;
-    for (const auto* known : findService(service)) {
-        if (known->record.target != target)
-            continue;
-        if (!best || known->record.bornAtMs > best->record.bornAtMs)
-            best = known;
-    }
-    return best;
+    const auto& candidates = findService(service);
+    const auto found = std::find_if(candidates.begin(), candidates.end(),
+        [&](const entry* known) { return known->record.target == target; });
+    return found == candidates.end() ? nullptr : *found;
 }
 
 const instance_directory::entry* instance_directory::find(const std::string& id) const
@@ -128,9 +125,15 @@
 
 void instance_directory::rebuildIndex()
 {
+    std::map<address, const entry*> youngest;
+    for (const auto& [id, known] : m_entries) {
+        auto& owner = youngest[known.record.target];
+        if (!owner || owner->record.bornAtMs <= known.record.bornAtMs)
+            owner = &known;
+    }
     m_byService.clear();
-    for (const auto& [id, known] : m_entries)
-        m_byService[known.record.service].push_back(&known);
+    for (const auto& [target, known] : youngest)
+        m_byService[known->record.service].push_back(known);
 }
 
 } // namespace fuchsiagauge
--- a/policy/instance_directory.h
+++ b/policy/instance_directory.h
@@ -48,10 +48,11 @@
     /// Drops entries that are still missing after the time that instances have to list themselves again.
     void tick(milliseconds now);
 
-    /// @return the instances of a service, draining ones included.
+    /// @return the instances of a service, draining ones included. Of several entries with one address only
+    /// the youngest counts: the others have ended and wait for their entries to lapse.
     const std::vector<const entry*>& findService(const std::string& service) const;
 
-    /// @return the instance with that target address that is not missing, or null; the youngest of several.
+    /// @return the instance with that target address, or null.
     const entry* findByTarget(const address& target, const std::string& service) const;
 
     /// @return the entry of that id, or null.
--- a/policy/instance_picker.cpp
+++ b/policy/instance_picker.cpp
@@ -10,8 +10,11 @@
 namespace {
 
     /// Shares of the latency target: the wait in the own zone that is borne before another is used.
-    constexpr double otherZoneShare = 0.05;
-    constexpr double otherRegionShare = 0.4;
+    constexpr double otherZoneShare = 0.1;
+    constexpr double otherRegionShare = 0.5;
+    constexpr double comfortShare = 0.4; ///< Of the latency target: run times below it hardly count.
+    constexpr double jitterShare = 0.05; ///< Of the run time.
+    constexpr double comfortWeight = 0.1;
     /// Cost of a sure failure, in latency targets: a failed attempt costs the request its value.
     constexpr double failureTargets = 4;
     constexpr double failureWeight = 0.1; ///< Of the newest outcome: about the last ten attempts count.
@@ -131,9 +134,12 @@
     const double targetMs = request.latencyTarget.getCount();
     const double failureCost = getFailureRate(known, now) * failureTargets * targetMs;
     // A little randomness keeps nodes with the same view from choosing alike.
-    const double jitter = m_random() * serviceMs * 0.1;
-    return getDistanceCost(request, candidate.record.zone) + getWait(now, known) + serviceMs * speedFactor
-        + failureCost + jitter;
+    const double jitter = m_random() * serviceMs * jitterShare;
+    // A slower instance costs little as long as its run time leaves room within the latency target.
+    const double runMs = serviceMs * speedFactor;
+    const double runCost = runMs * comfortWeight + std::max(0.0, runMs - comfortShare * targetMs);
+    return getDistanceCost(request, candidate.record.zone) + getWait(now, known) + runCost + failureCost
+        + jitter;
 }
 
 double instance_picker::getDistanceCost(const pick_request& request, const std::string& zone) const
--- a/tests/policy/instance_directory_test.cpp
+++ b/tests/policy/instance_directory_test.cpp
@@ -80,4 +80,7 @@
     younger.bornAtMs = 6;
     directory.takeListing({ younger, older }, now);
     STRCMP_EQUAL("younger", directory.findByTarget({ "10.0.0.1", 80 }, "orders")->record.id.c_str());
+    CHECK_EQUAL(1U, directory.findService("orders").size());
+    directory.remove("younger", now);
+    CHECK_EQUAL(1U, directory.findService("orders").size());
 }
