--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 # Pages and man pages that are made from the programs.
 docs: build
 	$(BUILD)/main/fuchsiagauged --settings-reference >docs/SETTINGS.md
+	$(BUILD)/main/fuchsiagauged mesh --settings-reference >docs/MESH_SETTINGS.md
 	misc/make_man_pages.py $(BUILD)
 
 format:
--- a/client/command_line.cpp
+++ b/client/command_line.cpp
@@ -3,6 +3,7 @@
 #include "client/completion.h"
 #include "client/document_commands.h"
 #include "client/exit_code.h"
+#include "client/explain_request.h"
 #include "client/node_commands.h"
 #include "client/node_list.h"
 #include "core/version.h"
@@ -32,6 +33,7 @@
         bool isFollow = false;
         std::string first; ///< First positional argument.
         std::string second; ///< Second positional argument.
+        std::vector<std::string> files; ///< Positional arguments behind the first.
         bool needsNodes = false;
         command_hook run;
 
@@ -115,6 +117,15 @@
         ticket->add_option("TICKET", line.first, "The order's ticket")->required();
     }
 
+    void addLogCommands(CLI::App& app, command_line& line)
+    {
+        auto* explain = addCommand(app, line, "explain",
+            "Tell the story of one request from the log lines of several nodes", false,
+            [&line](const auto& world, const auto&) { return runExplain(world, line.first, line.files); });
+        explain->add_option("REQUEST", line.first, "Id of the request, as the client sent it")->required();
+        explain->add_option("FILE", line.files, "Files of log lines; none: standard input");
+    }
+
     command_words getWords(const CLI::App& app, bool isProgram)
     {
         command_words words { isProgram ? "" : app.get_name(), app.get_description(), {} };
@@ -168,6 +179,7 @@
     addGlobalOptions(app, line);
     addDocumentCommands(app, line);
     addNodeCommands(app, line);
+    addLogCommands(app, line);
     addCompletionCommand(app, line);
     try {
         app.parse(argc, argv);
--- a/core/settings.h
+++ b/core/settings.h
@@ -66,7 +66,10 @@
     std::map<std::string, setting_value> m_values;
 };
 
-/// @return the reference page of all settings, in Markdown.
+/// @return the reference page of the node's settings, in Markdown.
 std::string formatSettingsReference();
 
+/// @return the rows of a table of settings, in Markdown.
+std::string formatSettingsRows(const std::vector<setting_row>& table);
+
 } // namespace fuchsiagauge
--- a/core/settings_reference.cpp
+++ b/core/settings_reference.cpp
@@ -36,9 +36,16 @@
         << "types, values out of range and clashes are refused; `fuchsiagauged --check --settings FILE` "
            "says\n"
         << "all of them without starting the node.\n\n"
-        << "This page is made from the settings table by `fuchsiagauged --settings-reference`.\n\n"
-        << "| key | type | range | default | meaning |\n|---|---|---|---|---|\n";
-    for (const auto& row : getSettingsTable()) {
+        << "This page is made from the settings tables by `fuchsiagauged --settings-reference`.\n\n"
+        << formatSettingsRows(getSettingsTable());
+    return out.str();
+}
+
+std::string formatSettingsRows(const std::vector<setting_row>& table)
+{
+    std::ostringstream out;
+    out << "| key | type | range | default | meaning |\n|---|---|---|---|---|\n";
+    for (const auto& row : table) {
         out << "| `" << row.key << "` | " << getTypeName(row.type) << " | " << describeRange(row) << " | "
             << formatDefault(row) << " | " << row.doc << " |\n";
     }
--- a/main/main.cpp
+++ b/main/main.cpp
@@ -3,6 +3,7 @@
 #include "core/settings.h"
 #include "main/exit_code.h"
 #include "main/mesh_main.h"
+#include "mesh/mesh_settings.h"
 #include "node/node.h"
 
 #include <CLI/CLI.hpp>
@@ -45,10 +46,20 @@
     std::string meshFileName;
     mesh->add_option("--settings", meshFileName, "Settings file: JSON with comments")
         ->envname("FUCHSIAGAUGE_SETTINGS")
-        ->required();
+        ->check(CLI::ExistingFile);
+    bool isMeshCheck = false;
+    bool isMeshReference = false;
+    mesh->add_flag("--check", isMeshCheck, "Check the settings and end");
+    mesh->add_flag(
+        "--settings-reference", isMeshReference, "Print the reference page of its settings and end");
     CLI11_PARSE(app, argc, argv);
+    if (isMeshReference) {
+        std::cout << fuchsiagauge::formatMeshSettingsReference();
+        return 0;
+    }
     if (mesh->parsed())
-        return fuchsiagauge::runMeshNode(meshFileName);
+        return isMeshCheck ? fuchsiagauge::checkMeshSettings(meshFileName)
+                           : fuchsiagauge::runMeshNode(meshFileName);
     if (isReference) {
         std::cout << fuchsiagauge::formatSettingsReference();
         return 0;
--- a/main/mesh_main.cpp
+++ b/main/mesh_main.cpp
@@ -7,26 +7,90 @@
 #include "platform/target_speech.h"
 
 #include <boost/asio/signal_set.hpp>
-#include <functional>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
 #include <iostream>
+#include <sys/stat.h>
+#include <utility>
 
 namespace fuchsiagauge {
 namespace {
 
-    /// Reads the settings again at each signal.
-    void reloadOnSignal(boost::asio::signal_set& signals, const std::string& fileName, mesh_node& node)
-    {
-        signals.async_wait([&signals, fileName, &node](const boost::system::error_code& code, int) {
-            if (code)
-                return;
-            const auto config = mesh_settings::load(fileName);
-            node.reloadSettings(config, config ? std::string() : copyLastError().detail);
-            reloadOnSignal(signals, fileName, node);
-        });
-    }
+    constexpr std::chrono::seconds settingsCheckInterval { 1 }; ///< The file may change without a signal.
+
+    /// Reads the settings again at each signal and whenever the file has changed.
+    class settings_watch {
+    public:
+        settings_watch(boost::asio::io_context& io, std::string fileName, mesh_node& node)
+            : m_signals(io, SIGHUP)
+            , m_timer(io)
+            , m_fileName(std::move(fileName))
+            , m_node(node)
+            , m_changedAt(getChangeTime())
+        {
+            waitForSignal();
+            waitForChange();
+        }
+
+    private:
+        std::int64_t getChangeTime() const
+        {
+            constexpr std::int64_t nanosecondsPerSecond = 1000000000;
+            struct stat status { };
+            if (::stat(m_fileName.c_str(), &status) != 0)
+                return 0;
+            return status.st_mtim.tv_sec * nanosecondsPerSecond + status.st_mtim.tv_nsec;
+        }
+
+        void waitForSignal()
+        {
+            m_signals.async_wait([this](const boost::system::error_code& code, int) {
+                if (code)
+                    return;
+                reload();
+                waitForSignal();
+            });
+        }
+
+        void waitForChange()
+        {
+            m_timer.expires_after(settingsCheckInterval);
+            m_timer.async_wait([this](const boost::system::error_code& code) {
+                if (code)
+                    return;
+                if (getChangeTime() != m_changedAt)
+                    reload();
+                waitForChange();
+            });
+        }
+
+        void reload()
+        {
+            m_changedAt = getChangeTime();
+            const auto config = mesh_settings::load(m_fileName);
+            m_node.reloadSettings(config, config ? std::string() : copyLastError().detail);
+        }
+
+        boost::asio::signal_set m_signals;
+        boost::asio::steady_timer m_timer;
+        std::string m_fileName;
+        mesh_node& m_node;
+        std::int64_t m_changedAt; ///< Nanoseconds since 1970-01-01 UTC; 0: the file is not there.
+    };
 
 } // namespace
 
+int checkMeshSettings(const std::string& fileName)
+{
+    if (!mesh_settings::load(fileName)) {
+        std::cerr << copyLastError().detail << '\n';
+        return badSettingsExitCode;
+    }
+    std::cout << fileName << ": good\n";
+    return 0;
+}
+
 int runMeshNode(const std::string& fileName)
 {
     const auto config = mesh_settings::load(fileName);
@@ -47,8 +111,7 @@
         if (!code)
             server.stop([&io] { io.stop(); });
     });
-    boost::asio::signal_set reloadSignals(io, SIGHUP);
-    reloadOnSignal(reloadSignals, fileName, server);
+    const settings_watch watch(io, fileName, server);
     io.run();
     return 0;
 }
--- a/main/mesh_main.h
+++ b/main/mesh_main.h
@@ -9,4 +9,8 @@
 /// @return the process's exit code.
 int runMeshNode(const std::string& fileName);
 
+/// Checks a settings file and says what is wrong.
+/// @return the process's exit code.
+int checkMeshSettings(const std::string& fileName);
+
 } // namespace fuchsiagauge
--- a/mesh/mesh_settings.cpp
+++ b/mesh/mesh_settings.cpp
@@ -60,7 +60,8 @@
         addressRow("listen.callers", true, "Address for clients and the instance on this VM."),
         addressRow("listen.peers", true, "Address for other nodes; the port is the same on every VM."),
         addressRow("listen.ready", true, "Address that is asked whether the node takes clients."),
-        addressRow("listen.metrics", false, "Address for metrics; empty: only at `listen.ready`."),
+        addressRow(
+            "listen.metrics", false, "Address for metrics; empty: only at `listen.ready`, path `/metrics`."),
         addressRow("platform.address", true, "Address of the platform's store."),
         numberRow("platform.watch_s", 20, 1, 30, "Longest wait of one watch, in seconds."),
         numberRow("stop.grace_s", 6, 1, 3600,
@@ -76,6 +77,16 @@
     return table;
 }
 
+std::string formatMeshSettingsReference()
+{
+    return "# Settings of a node in a mesh\n\n"
+           "`fuchsiagauged mesh --settings FILE` reads JSON with comments, as the page\n"
+           "[Settings](SETTINGS.md) tells; without the option the file is named by "
+           "`FUCHSIAGAUGE_SETTINGS`.\n\n"
+           "This page is made by `fuchsiagauged mesh --settings-reference`.\n\n"
+        + formatSettingsRows(getMeshSettingsTable());
+}
+
 std::optional<mesh_settings> mesh_settings::load(const std::string& fileName)
 {
     const auto text = readTextFile(fileName, maxSettingsBytes);
--- a/mesh/mesh_settings.h
+++ b/mesh/mesh_settings.h
@@ -15,6 +15,9 @@
 /// @return every setting of the node in a mesh, in the order of the reference page.
 const std::vector<setting_row>& getMeshSettingsTable();
 
+/// @return the reference page of these settings, in Markdown.
+std::string formatMeshSettingsReference();
+
 /// The checked settings of a node in a mesh.
 struct mesh_settings {
     std::string node; ///< Name of this node.
--- /dev/null
+++ b/tests/mesh/mesh_node_test.cpp
@@ -0,0 +1,268 @@
+#include "tests/mesh/test_mesh.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiagauge;
+
+TEST_GROUP(mesh_node)
+{
+    test_mesh mesh;
+
+    /// @return how often both instances have seen a request.
+    static std::size_t countReceived(const test_mesh::vm& first, const test_mesh::vm& second)
+    {
+        return first.received.size() + second.received.size();
+    }
+};
+
+TEST(mesh_node, servesAtTheInstanceOfAnotherVm)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& other = mesh.addVm("i-2", "orders");
+    mesh.listAll();
+    mesh.publish(test_mesh::makeRules("orders", true));
+    const auto& answer = mesh.await(mesh.send(
+        entry, "id-1", "/a?b=c", { { "Caller-Service", "forged" }, { "Request-Deadline", "900" } }));
+    LONGS_EQUAL(200, answer.head.status);
+    STRCMP_EQUAL("/a?b=c", answer.body.c_str());
+    const auto& seen = other.received.at(0).fields;
+    STRCMP_EQUAL("front", seen.get("Caller-Service").c_str());
+    STRCMP_EQUAL("i-2", seen.get("Expect-Instance").c_str());
+    STRCMP_EQUAL("id-1", seen.get("Request-Id").c_str());
+    CHECK(std::stoi(seen.get("Request-Deadline")) <= 900);
+    CHECK(seen.find("fg-call") == nullptr);
+    CHECK(answer.head.fields.find("fg-reply") == nullptr);
+}
+
+TEST(mesh_node, knowsNoRoutesAtFirstAndSaysSo)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    const auto& early = mesh.await(mesh.send(entry, "id-1"));
+    LONGS_EQUAL(503, early.head.status);
+    CHECK(early.head.fields.find("Retry-After") != nullptr);
+    mesh.listAll();
+    auto rules = test_mesh::makeRules("front", true);
+    rules.routes[0].prefix = "/known/";
+    mesh.publish(rules);
+    LONGS_EQUAL(404, mesh.await(mesh.send(entry, "id-2", "/unknown")).head.status);
+}
+
+TEST(mesh_node, anOlderVersionChangesNothing)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    mesh.listAll();
+    auto rules = test_mesh::makeRules("front", true);
+    rules.version = 7;
+    mesh.publish(rules);
+    auto older = test_mesh::makeRules("nowhere", true);
+    older.version = 6;
+    mesh.publish(older);
+    LONGS_EQUAL(200, mesh.await(mesh.send(entry, "id-1")).head.status);
+}
+
+TEST(mesh_node, repeatsARepeatableRequestWhoseAnswerWasLost)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& first = mesh.addVm("i-2", "orders", "a");
+    auto& second = mesh.addVm("i-3", "orders", "b");
+    first.script = test_mesh::dropping();
+    mesh.listAll();
+    mesh.publish(test_mesh::makeRules("orders", true));
+    LONGS_EQUAL(200, mesh.await(mesh.send(entry, "id-1")).head.status);
+    CHECK_EQUAL(1U, first.received.size());
+    CHECK_EQUAL(1U, second.received.size());
+}
+
+TEST(mesh_node, neverSendsAnOrderTwiceOnceItMayHaveRun)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& first = mesh.addVm("i-2", "orders", "a");
+    auto& second = mesh.addVm("i-3", "orders", "b");
+    mesh.listAll();
+    mesh.publish(test_mesh::makeRules("orders", false));
+    std::size_t sent = 0;
+    for (const auto& script :
+        { test_mesh::dropping(), test_mesh::answering(500), test_mesh::answering(503) }) {
+        first.script = script;
+        second.script = script;
+        const auto& answer = mesh.await(mesh.send(entry, "id-" + std::to_string(++sent)));
+        CHECK(answer.head.status >= 500);
+        CHECK_EQUAL(sent, countReceived(first, second));
+    }
+}
+
+TEST(mesh_node, doesNotSayNotRunOfAnOrderThatMayHaveRun)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& first = mesh.addVm("i-2", "orders");
+    first.script = test_mesh::dropping();
+    mesh.listAll();
+    mesh.publish(test_mesh::makeRules("orders", false));
+    LONGS_EQUAL(502, mesh.await(mesh.send(entry, "id-1")).head.status);
+}
+
+TEST(mesh_node, sendsAnOrderThatWasRejectedToAnotherInstance)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& first = mesh.addVm("i-2", "orders", "a");
+    auto& second = mesh.addVm("i-3", "orders", "b");
+    first.script = test_mesh::answering(503, { { "Not-Run", "1" } });
+    mesh.listAll();
+    mesh.publish(test_mesh::makeRules("orders", false));
+    LONGS_EQUAL(200, mesh.await(mesh.send(entry, "id-1")).head.status);
+    CHECK_EQUAL(1U, second.received.size());
+}
+
+TEST(mesh_node, refusesTrulyWhenEveryInstanceRejects)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& only = mesh.addVm("i-2", "orders");
+    only.script = test_mesh::answering(503, { { "Not-Run", "1" }, { "Server-Stamp", "s" } });
+    mesh.listAll();
+    mesh.publish(test_mesh::makeRules("orders", false));
+    const auto& answer = mesh.await(mesh.send(entry, "id-1"));
+    LONGS_EQUAL(503, answer.head.status);
+    CHECK(answer.head.fields.find("Retry-After") != nullptr);
+    CHECK(answer.head.fields.find("Server-Stamp") == nullptr);
+}
+
+TEST(mesh_node, anAddressThatAnotherInstanceHasIsLeftAtOnce)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& first = mesh.addVm("i-2", "orders", "a");
+    auto& second = mesh.addVm("i-3", "orders", "b");
+    first.script = test_mesh::answering(421);
+    mesh.listAll();
+    mesh.publish(test_mesh::makeRules("orders", false));
+    LONGS_EQUAL(200, mesh.await(mesh.send(entry, "id-1")).head.status);
+    CHECK_EQUAL(1U, second.received.size());
+}
+
+TEST(mesh_node, goesElsewhereWhenTheInstanceIsDown)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& first = mesh.addVm("i-2", "orders", "a");
+    mesh.addVm("i-3", "orders", "b");
+    mesh.listAll();
+    mesh.publish(test_mesh::makeRules("orders", false));
+    first.instance->close();
+    LONGS_EQUAL(200, mesh.await(mesh.send(entry, "id-1")).head.status);
+}
+
+TEST(mesh_node, anAnswerToAnotherRequestIsNotPassedOn)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& only = mesh.addVm("i-2", "orders");
+    only.script = [](const std::shared_ptr<incoming_call>& call) {
+        answer_head head;
+        head.fields.add("Request-Id", "somebody-else");
+        call->answer(head, "not yours");
+    };
+    mesh.listAll();
+    auto rules = test_mesh::makeRules("orders", false);
+    rules.routes[0].timeout = milliseconds(300);
+    mesh.publish(rules);
+    LONGS_EQUAL(504, mesh.await(mesh.send(entry, "id-1")).head.status);
+}
+
+TEST(mesh_node, endsARequestAtItsRoutesTimeout)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& only = mesh.addVm("i-2", "orders");
+    only.script = test_mesh::holding(only);
+    mesh.listAll();
+    auto rules = test_mesh::makeRules("orders", false);
+    rules.routes[0].timeout = milliseconds(200);
+    mesh.publish(rules);
+    LONGS_EQUAL(504, mesh.await(mesh.send(entry, "id-1")).head.status);
+    mesh.runUntil([&] { return only.held.at(0)->isEnded(); });
+}
+
+TEST(mesh_node, aClientThatLeavesFreesTheInstanceOverBothHops)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& only = mesh.addVm("i-2", "orders");
+    only.script = test_mesh::holding(only);
+    mesh.listAll();
+    mesh.publish(test_mesh::makeRules("orders", true));
+    const auto number = mesh.send(entry, "id-1");
+    mesh.runUntil([&] { return only.held.size() == 1; });
+    mesh.leave(number);
+    mesh.runUntil([&] { return only.held.at(0)->isEnded(); });
+}
+
+TEST(mesh_node, theGateLetsNoMoreInThanTheInstanceHasSlots)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& only = mesh.addVm("i-2", "orders");
+    only.script = test_mesh::holding(only);
+    mesh.listAll();
+    mesh.publish(test_mesh::makeRules("orders", true));
+    const auto first = mesh.send(entry, "id-1");
+    mesh.send(entry, "id-2");
+    const auto third = mesh.send(entry, "id-3");
+    mesh.runUntil([&] { return only.held.size() == 2; });
+    CHECK_FALSE(mesh.getAnswer(third).has_value());
+    test_mesh::answering(200)(only.held[0]);
+    mesh.runUntil([&] { return only.held.size() == 3; });
+    LONGS_EQUAL(200, mesh.await(first).head.status);
+}
+
+TEST(mesh_node, aCallOfARunningRequestExpiresWithIt)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& below = mesh.addVm("i-2", "orders");
+    entry.script = test_mesh::holding(entry);
+    mesh.listAll();
+    auto rules = test_mesh::makeRules("front", true);
+    auto inner = rules.routes[0];
+    inner.name = "inner";
+    inner.prefix = "/inner/";
+    inner.parts = { { "orders", 1 } };
+    rules.routes.push_back(inner);
+    mesh.publish(rules);
+    mesh.send(entry, "parent", "/x", { { "Request-Deadline", "700" } });
+    mesh.runUntil([&] { return entry.held.size() == 1; });
+    mesh.await(mesh.send(entry, "parent.child", "/inner/x"));
+    CHECK(std::stoi(below.received.at(0).fields.get("Request-Deadline")) <= 700);
+}
+
+TEST(mesh_node, aFailureByRefusalFurtherDownIsNotRepeated)
+{
+    auto& entry = mesh.addVm("i-1", "front", "a");
+    auto& twin = mesh.addVm("i-2", "front", "b");
+    auto& below = mesh.addVm("i-3", "orders");
+    entry.script = test_mesh::holding(entry);
+    below.script = test_mesh::answering(503, { { "Not-Run", "1" } });
+    mesh.listAll();
+    auto rules = test_mesh::makeRules("front", true);
+    auto inner = rules.routes[0];
+    inner.name = "inner";
+    inner.prefix = "/inner/";
+    inner.parts = { { "orders", 1 } };
+    rules.routes.push_back(inner);
+    mesh.publish(rules);
+    const auto parent = mesh.send(entry, "parent");
+    mesh.runUntil([&] { return entry.held.size() == 1; });
+    LONGS_EQUAL(503, mesh.await(mesh.send(entry, "parent.child", "/inner/x")).head.status);
+    test_mesh::answering(500)(entry.held[0]);
+    LONGS_EQUAL(500, mesh.await(parent).head.status);
+    CHECK(twin.received.empty());
+}
+
+TEST(mesh_node, aStoppingNodeEndsWhatIsInFlight)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& only = mesh.addVm("i-2", "orders");
+    only.script = test_mesh::holding(only);
+    mesh.listAll();
+    mesh.publish(test_mesh::makeRules("orders", true));
+    const auto number = mesh.send(entry, "id-1");
+    mesh.runUntil([&] { return only.held.size() == 1; });
+    bool isStopped = false;
+    entry.node->stop([&] { isStopped = true; });
+    test_mesh::answering(200)(only.held[0]);
+    const auto& answer = mesh.await(number);
+    LONGS_EQUAL(200, answer.head.status);
+    mesh.runUntil([&] { return isStopped; });
+}
--- /dev/null
+++ b/tests/mesh/test_mesh.cpp
@@ -0,0 +1,176 @@
+#include "tests/mesh/test_mesh.h"
+
+#include "platform/target_speech.h"
+
+#include <chrono>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fuchsiagauge;
+
+namespace {
+
+constexpr std::chrono::seconds longestRun { 20 };
+constexpr std::uint16_t targetPort = 18101;
+constexpr std::uint16_t callersPort = 18102;
+constexpr std::uint16_t peersPort = 18103;
+constexpr std::uint16_t readyPort = 18104;
+constexpr int okStatus = 200;
+
+fuchsiagauge::clock getClock() { return fuchsiagauge::clock::makeBoot(); }
+
+/// @return a loopback address of its own for each VM of each test process.
+std::string makeHost(std::size_t index)
+{
+    constexpr int hostsPerPart = 250;
+    return "127." + std::to_string(getpid() / hostsPerPart % hostsPerPart + 1) + '.'
+        + std::to_string(getpid() % hostsPerPart + 1) + '.' + std::to_string(index + 1);
+}
+
+mesh_settings makeSettings(const test_mesh::vm& owner)
+{
+    mesh_settings config;
+    config.node = "node-" + owner.id;
+    config.service = owner.service;
+    config.place = { owner.zone, { { "a", "west" }, { "b", "west" }, { "c", "east" } } };
+    config.target = { owner.host, targetPort };
+    config.callersListener = { owner.host, callersPort };
+    config.peersListener = { owner.host, peersPort };
+    config.readyListener = { owner.host, readyPort };
+    config.platform = { owner.host, 1 };
+    config.logLevel = "error";
+    return config;
+}
+
+} // namespace
+
+test_mesh::test_mesh() = default;
+
+test_mesh::~test_mesh()
+{
+    m_clients.clear();
+    m_vms.clear();
+    m_io.poll();
+}
+
+test_mesh::vm& test_mesh::addVm(const std::string& id, const std::string& service, const std::string& zone)
+{
+    m_vms.push_back(std::make_unique<vm>());
+    auto& added = *m_vms.back();
+    added.id = id;
+    added.host = makeHost(m_vms.size());
+    added.service = service;
+    added.zone = zone;
+    added.script = answering(okStatus);
+    added.instance = std::make_unique<http_server>(
+        m_io, getClock(), 100, [&added](const std::shared_ptr<incoming_call>& call) {
+            added.received.push_back(call->getRequest());
+            added.script(call);
+        });
+    CHECK(added.instance->open({ added.host, targetPort }).has_value());
+    added.node = std::make_unique<mesh_node>(m_io, makeSettings(added), makePlatformProtocol());
+    CHECK(added.node->start());
+    return added;
+}
+
+void test_mesh::listAll()
+{
+    std::vector<instance_record> listed;
+    for (const auto& one : m_vms) {
+        instance_record record;
+        record.id = one->id;
+        record.service = one->service;
+        record.target = { one->host, targetPort };
+        record.zone = one->zone;
+        record.slots = 2;
+        listed.push_back(record);
+    }
+    for (const auto& one : m_vms)
+        one->node->takeListing(listed);
+}
+
+void test_mesh::publish(traffic_rules rules)
+{
+    for (const auto& one : m_vms)
+        one->node->takeRules(rules);
+}
+
+traffic_rules test_mesh::makeRules(const std::string& service, bool isIdempotent)
+{
+    traffic_rules rules;
+    rules.version = 1;
+    call_route route;
+    route.name = "route";
+    route.host = "shop";
+    route.prefix = "/";
+    route.parts = { { service, 1 } };
+    route.isIdempotent = isIdempotent;
+    route.maxInstances = 2;
+    rules.routes.push_back(route);
+    return rules;
+}
+
+std::size_t test_mesh::send(
+    const vm& entry, const std::string& id, const std::string& path, const std::vector<call_field>& fields)
+{
+    m_clients.push_back(std::make_unique<client>());
+    auto& added = *m_clients.back();
+    added.pool = std::make_unique<outgoing_pool>(
+        m_io, getClock(), address { entry.host, callersPort }, pool_limits {});
+    outgoing_request outgoing;
+    outgoing.request.method = "GET";
+    outgoing.request.target = path;
+    outgoing.request.fields.add("Host", "shop");
+    outgoing.request.fields.add("Request-Id", id);
+    for (const auto& field : fields)
+        outgoing.request.fields.add(field.name, field.value);
+    outgoing.expiresAt = getClock().now() + milliseconds(15000);
+    added.call = added.pool->send(
+        std::move(outgoing), [&added](outgoing_result result) { added.result = std::move(result); });
+    return m_clients.size() - 1;
+}
+
+void test_mesh::leave(std::size_t number) { outgoing_pool::cancel(m_clients.at(number)->call); }
+
+const std::optional<outgoing_result>& test_mesh::getAnswer(std::size_t number) const
+{
+    return m_clients.at(number)->result;
+}
+
+void test_mesh::runUntil(const std::function<bool()>& isMet)
+{
+    const auto end = std::chrono::steady_clock::now() + longestRun;
+    while (!isMet() && std::chrono::steady_clock::now() < end)
+        m_io.run_one_for(std::chrono::milliseconds(50));
+    CHECK(isMet());
+}
+
+const outgoing_result& test_mesh::await(std::size_t number)
+{
+    runUntil([&] { return getAnswer(number).has_value(); });
+    return *getAnswer(number);
+}
+
+std::function<void(const std::shared_ptr<incoming_call>&)> test_mesh::answering(
+    int status, std::vector<call_field> fields)
+{
+    return [status, fields](const std::shared_ptr<incoming_call>& call) {
+        answer_head head;
+        head.status = status;
+        head.fields.add("Request-Id", call->getRequest().fields.get("Request-Id"));
+        for (const auto& field : fields)
+            head.fields.add(field.name, field.value);
+        call->answer(head, call->getRequest().target);
+    };
+}
+
+std::function<void(const std::shared_ptr<incoming_call>&)> test_mesh::dropping()
+{
+    return [](const std::shared_ptr<incoming_call>& call) { call->drop(); };
+}
+
+std::function<void(const std::shared_ptr<incoming_call>&)> test_mesh::holding(vm& owner)
+{
+    return [&owner](const std::shared_ptr<incoming_call>& call) { owner.held.push_back(call); };
+}
