mesh: Tell spilled requests, avoided and failed instances apart in the decision log

Cause: one event, gate-refused, stood for refusals by the gate and for failures of the instance, and nothing told that a request left its zone.

--- a/core/decision_log.h
+++ b/core/decision_log.h
@@ -31,6 +31,7 @@
     RequestCancelled, ///< The client left first.
     RequestSpilled, ///< Sent to another availability zone or region.
     GateRefused, ///< The gate beside the instance refused a request.
+    InstanceFailed, ///< The instance beside this node did not answer, or did not run a request.
     PauseDetected, ///< The process slept and woke up late.
     RequestServed, ///< Written only at level debug.
     Count,
--- a/mesh/inbound_call.cpp
+++ b/mesh/inbound_call.cpp
@@ -11,7 +11,13 @@
     constexpr int unavailableStatus = 503;
     constexpr int badGatewayStatus = 502;
 
-    /// Fields that concern the instance's connection to its client are the other node's to set.
+    bool isGateRefusal(attempt_outcome outcome)
+    {
+        return outcome == attempt_outcome::NoRoom || outcome == attempt_outcome::Shed
+            || outcome == attempt_outcome::Leaving;
+    }
+
+    /// Answers the other node, with the instance's answer if there is one.
     void answerPeer(
         mesh_context& context, incoming_call& incoming, const peer_call& call, attempt_result result)
     {
@@ -24,8 +30,9 @@
         reply.below = result.below;
         const bool hasAnswer = result.outcome == attempt_outcome::Answered;
         if (!hasAnswer) {
-            context.counters.gateRefusals.add(result.outcome == attempt_outcome::NoRoom ? 1 : 0);
-            context.log.write(decision::GateRefused, call.requestId,
+            const bool isRefusal = isGateRefusal(result.outcome);
+            context.counters.gateRefusals.add(isRefusal ? 1 : 0);
+            context.log.write(isRefusal ? decision::GateRefused : decision::InstanceFailed, call.requestId,
                 { { "outcome", std::string(getAttemptOutcomeName(result.outcome)) },
                     { "detail", result.detail }, { "busy", static_cast<double>(reply.busy) },
                     { "waiting", static_cast<double>(reply.waiting) },
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -170,11 +170,7 @@
     call.instance = m_instance;
     call.callerService = m_context.config.service;
     call.requestId = m_terms.requestId;
-    const auto& place = m_context.config.place;
-    if (chosen.record.zone != place.zone)
-        (place.isSameRegion(chosen.record.zone, place.zone) ? m_context.counters.spilledZone
-                                                            : m_context.counters.spilledRegion)
-            .add();
+    noteSpill(chosen);
     if (chosen.record.target == m_context.config.target) {
         const auto self = shared_from_this();
         const auto run = m_context.target.run(m_incoming->getRequest(), call, [self](attempt_result result) {
@@ -188,6 +184,23 @@
     sendToPeer(chosen, call);
 }
 
+/// Counts and tells that a request leaves the availability zone, and how long it would have waited at the
+/// best instance it passed over.
+void outbound_call::noteSpill(const instance_directory::entry& chosen)
+{
+    const auto& place = m_context.config.place;
+    if (chosen.record.zone == place.zone)
+        return;
+    const bool isSameRegion = place.isSameRegion(chosen.record.zone, place.zone);
+    (isSameRegion ? m_context.counters.spilledZone : m_context.counters.spilledRegion).add();
+    if (!m_context.log.isWanted(decision::RequestSpilled))
+        return;
+    m_context.log.write(decision::RequestSpilled, m_terms.requestId,
+        { { "route", m_route->name }, { "service", m_service }, { "instance", m_instance },
+            { "from", place.zone }, { "to", chosen.record.zone },
+            { "attempt", static_cast<double>(m_choices) } });
+}
+
 void outbound_call::sendToPeer(const instance_directory::entry& chosen, const peer_call& call)
 {
     outgoing_request outgoing;
@@ -258,7 +271,15 @@
     const auto now = m_context.time.now();
     if (result.hasLoad)
         m_context.picker.onReport(m_instance, now, result.load);
-    m_context.picker.onEnd(m_instance, now, getEvidence(result));
+    const auto evidence = getEvidence(result);
+    m_context.picker.onEnd(m_instance, now, evidence);
+    const bool isAvoided = evidence == attempt_evidence::Unreachable || evidence == attempt_evidence::Leaving
+        || evidence == attempt_evidence::Misdirected;
+    if (isAvoided) {
+        m_context.log.write(decision::InstanceAvoided, m_terms.requestId,
+            { { "instance", m_instance }, { "reason", std::string(getAttemptOutcomeName(result.outcome)) },
+                { "detail", result.detail } });
+    }
     m_context.counters.countAttempt(m_instance, result.outcome);
 }
 
--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -41,6 +41,7 @@
     double getRetryAfterS(milliseconds now) const;
     void attempt();
     void send(const instance_directory::entry& chosen);
+    void noteSpill(const instance_directory::entry& chosen);
     void sendToPeer(const instance_directory::entry& chosen, const peer_call& call);
     attempt_result readPeerResult(outgoing_result outgoing) const;
     void onAttemptEnd(attempt_result result);
