mesh: Repeat the call that failed, not the requests above it

A request whose call's answer was lost was repeated with all its calls, and the repeats below are sent whatever the budget there holds.

--- a/core/peer_envelope.h
+++ b/core/peer_envelope.h
@@ -39,9 +39,10 @@
 /// @return whether the instance certainly has not run the request and never will.
 bool hasNotRun(attempt_outcome outcome);
 
-/// Why a call further down, which an instance made for a request, was refused; the graver one is greater.
+/// How a call further down, which an instance made for a request, failed; the graver one is greater.
 enum class failure_below {
     None,
+    Failed, ///< It may have run.
     Rejected, ///< An instance refused it by itself.
     NoRoom, ///< No instance had a slot in time.
 };
@@ -53,7 +54,7 @@
     int waiting = 0; ///< Requests that wait for a slot.
     int slots = 1;
     milliseconds serviceTime; ///< Smoothed time that a request holds a slot.
-    failure_below below = failure_below::None; ///< Why a call that the instance made for it was refused.
+    failure_below below = failure_below::None; ///< How a call that the instance made for it failed.
 };
 
 /// Header fields of the envelope between two nodes.
--- a/mesh/local_target.h
+++ b/mesh/local_target.h
@@ -24,7 +24,7 @@
     std::string detail; ///< Why there is no answer.
     slot_report load; ///< The instance's load at the end.
     bool hasLoad = false;
-    failure_below below = failure_below::None; ///< Why a call that the instance made for it was refused.
+    failure_below below = failure_below::None; ///< How a call that the instance made for it failed.
 };
 
 /// A request that runs at the local instance, as its calls inherit from it.
@@ -61,7 +61,7 @@
     /// @return what its calls inherit, if it runs at the instance now.
     std::optional<parent_run> findRun(const std::string& requestId) const;
 
-    /// Takes in that a call of a request that runs here was refused.
+    /// Takes in that a call of a request that runs here failed.
     void noteFailureBelow(const std::string& requestId, failure_below failure);
 
     /// Ends what has waited or run for too long.
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -301,7 +301,8 @@
     if (m_expiresAt - now < shortestAttempt)
         return false;
     const bool mayRunAgain = m_route->isIdempotent || hasNotRun(result.outcome);
-    // Where a call further down was refused, a repeat would only add to the load there.
+    // Where a call further down failed, that call was the one to repeat: a repeat here would make all calls
+    // again.
     if (!mayRunAgain || result.below != failure_below::None)
         return false;
     if (wasSeen && !m_context.repeats.tryTake(m_service, now, getRepeatShare()))
@@ -336,11 +337,12 @@
         m_context.log.write(kind, m_terms.requestId,
             { { "route", m_route->name }, { "service", m_service }, { "instance", m_instance },
                 { "reason",
-                    std::string(result.below == failure_below::None ? "instance" : "refused further down") },
+                    std::string(result.below == failure_below::None ? "instance" : "failed further down") },
                 { "status", static_cast<double>(result.head.status) }, { "ms", latency.getCount() },
                 { "attempts", static_cast<double>(m_choices) } });
     }
-    noteFailureBelow(result.below);
+    if (result.head.status >= firstServerErrorStatus)
+        noteFailureBelow(std::max(result.below, failure_below::Failed));
     end();
     m_incoming->answer(result.head, result.body);
 }
@@ -362,6 +364,7 @@
         answerError(unavailableStatus, word, last.detail, true);
         return;
     }
+    noteFailureBelow(failure_below::Failed);
     const bool isTimeout = last.outcome == attempt_outcome::TimedOut;
     answerError(isTimeout ? gatewayTimeoutStatus : badGatewayStatus, word, last.detail, false);
 }
--- a/policy/repeat_budget.cpp
+++ b/policy/repeat_budget.cpp
@@ -8,7 +8,7 @@
     constexpr int slicesPerWindow = 20;
     /// Part of the budget that is spent. The rest covers nodes that have restarted and no longer know what
     /// they spent, and repeats further down the call graph, which are sent whatever the budget there holds.
-    constexpr double spentShare = 0.8;
+    constexpr double spentShare = 0.6;
 
 } // namespace
 
--- a/tests/core/peer_envelope_test.cpp
+++ b/tests/core/peer_envelope_test.cpp
@@ -34,7 +34,7 @@
         peer_reply reply;
         reply.outcome = static_cast<attempt_outcome>(index);
         reply.slots = 12;
-        reply.below = static_cast<failure_below>(index % 3);
+        reply.below = static_cast<failure_below>(index % 4);
         const auto read = parsePeerReply(formatPeerReply(reply));
         CHECK(read.has_value());
         CHECK(read->outcome == reply.outcome);
--- a/tests/mesh/mesh_node_test.cpp
+++ b/tests/mesh/mesh_node_test.cpp
@@ -250,6 +250,29 @@
     CHECK(twin.received.empty());
 }
 
+TEST(mesh_node, aFailureFurtherDownIsNotRepeatedAbove)
+{
+    auto& entry = mesh.addVm("i-1", "front", "a");
+    auto& twin = mesh.addVm("i-2", "front", "b");
+    auto& below = mesh.addVm("i-3", "orders");
+    entry.script = test_mesh::holding(entry);
+    below.script = test_mesh::dropping();
+    mesh.listAll();
+    auto rules = test_mesh::makeRules("front", true);
+    auto inner = rules.routes[0];
+    inner.name = "inner";
+    inner.prefix = "/inner/";
+    inner.parts = { { "orders", 1 } };
+    rules.routes.push_back(inner);
+    mesh.publish(rules);
+    const auto parent = mesh.send(entry, "parent");
+    mesh.runUntil([&] { return entry.held.size() == 1; });
+    LONGS_EQUAL(502, mesh.await(mesh.send(entry, "parent.child", "/inner/x")).head.status);
+    test_mesh::answering(500)(entry.held[0]);
+    LONGS_EQUAL(500, mesh.await(parent).head.status);
+    CHECK(twin.received.empty());
+}
+
 TEST(mesh_node, aStoppingNodeEndsWhatIsInFlight)
 {
     auto& entry = mesh.addVm("i-1", "front");
