--- a/policy/instance_picker.cpp
+++ b/policy/instance_picker.cpp
@@ -17,6 +17,7 @@
     constexpr double comfortWeight = 0.1;
     /// Cost of a sure failure, in latency targets: a failed attempt costs the request its value.
     constexpr double failureTargets = 4;
+    constexpr double toleratedFailures = 0.12; ///< Just above a single failure: sound instances have some.
     constexpr double failureWeight = 0.1; ///< Of the newest outcome: about the last ten attempts count.
     constexpr milliseconds failureHalfLife {
         2000
@@ -132,7 +133,8 @@
         = known.report.serviceTime.getCount() > 0 ? known.report.serviceTime.getCount() : assumedServiceMs;
     const double speedFactor = now < candidate.coldUntil ? coldFactor : 1;
     const double targetMs = request.latencyTarget.getCount();
-    const double failureCost = getFailureRate(known, now) * failureTargets * targetMs;
+    const double failureCost
+        = std::max(0.0, getFailureRate(known, now) - toleratedFailures) * failureTargets * targetMs;
     // A little randomness keeps nodes with the same view from choosing alike.
     const double jitter = m_random() * serviceMs * jitterShare;
     // A slower instance costs little as long as its run time leaves room within the latency target.
--- a/tests/policy/instance_picker_test.cpp
+++ b/tests/policy/instance_picker_test.cpp
@@ -105,6 +105,19 @@
     STRCMP_EQUAL("own", choose().c_str());
 }
 
+TEST(instance_picker, aSingleFailureDoesNotSendRequestsOutOfTheZone)
+{
+    list("own", "a");
+    list("near", "b");
+    for (int count = 0; count < 10; ++count)
+        end("own", attempt_evidence::Success);
+    end("own", attempt_evidence::Failure);
+    STRCMP_EQUAL("own", choose().c_str());
+    end("own", attempt_evidence::Failure);
+    end("own", attempt_evidence::Failure);
+    STRCMP_EQUAL("near", choose().c_str());
+}
+
 TEST(instance_picker, aCancelledAttemptSaysNothing)
 {
     list("own", "a");
