mesh: Keep a due tick from outliving its node

The daemon was not affected: its loop ends first. Test: mesh_node, aTickThatIsDueDoesNotOutliveTheNode. Also forgets evidence on instances that are no longer listed, and removes functions that nothing used.

--- a/mesh/local_target.h
+++ b/mesh/local_target.h
@@ -76,18 +76,9 @@
     /// Closes kept connections, as after the instance has been replaced.
     void forgetConnections();
 
-    /// @return the share of a priority's requests that may enter the call graph here.
-    double getEntryShare(int priority) const { return m_entry.getShare(priority); }
-
     /// @return the gate's state.
     slot_report getLoad() const { return m_gate.getReport(); }
 
-    /// @return connections opened to the instance since the start.
-    std::size_t getOpenedCount() const { return m_pool.getOpenedCount(); }
-
-    /// @return requests at the instance or waiting for it.
-    std::size_t getOpenCount() const { return m_runs.size(); }
-
 private:
     struct running {
         call_request request;
--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -43,7 +43,7 @@
 
 } // namespace
 
-struct mesh_node::state {
+struct mesh_node::state : std::enable_shared_from_this<mesh_node::state> {
     state(boost::asio::io_context& context, mesh_settings settings, target_protocol spoken);
 
     bool open();
@@ -139,11 +139,12 @@
 void mesh_node::state::scheduleTick()
 {
     timer.expires_after(std::chrono::milliseconds(static_cast<int>(tickInterval.getCount())));
-    timer.async_wait([this](const boost::system::error_code& code) {
-        if (code)
+    timer.async_wait([weak = weak_from_this()](const boost::system::error_code& code) {
+        const auto self = weak.lock();
+        if (code || !self)
             return;
-        tick();
-        scheduleTick();
+        self->tick();
+        self->scheduleTick();
     });
 }
 
@@ -175,6 +176,7 @@
     readiness.tick();
     admin.tick();
     directory.tick(now);
+    picker.forgetGone(directory);
     repeats.setNodeCount(static_cast<int>(directory.getEntries().size()));
 }
 
@@ -287,7 +289,7 @@
 }
 
 mesh_node::mesh_node(boost::asio::io_context& io, mesh_settings config, target_protocol protocol)
-    : m_state(std::make_unique<state>(io, std::move(config), std::move(protocol)))
+    : m_state(std::make_shared<state>(io, std::move(config), std::move(protocol)))
 {
 }
 
--- a/mesh/mesh_node.h
+++ b/mesh/mesh_node.h
@@ -64,7 +64,7 @@
 
 private:
     struct state;
-    std::unique_ptr<state> m_state;
+    std::shared_ptr<state> m_state;
 };
 
 } // namespace fuchsiagauge
--- a/mesh/mesh_settings.h
+++ b/mesh/mesh_settings.h
@@ -31,7 +31,6 @@
     address platform;
     milliseconds watch { 20000 }; ///< Longest wait of one watch.
     milliseconds grace { 6000 }; ///< Time from the signal to stop until the process is killed.
-    milliseconds relisting { 2500 };
     repeat_limits repeats;
     std::size_t maxConnections = 3000;
     std::string logLevel;
--- a/policy/instance_picker.cpp
+++ b/policy/instance_picker.cpp
@@ -112,7 +112,13 @@
     known.sentSinceReport = 0;
 }
 
-void instance_picker::forget(const std::string& id) { m_evidence.erase(id); }
+void instance_picker::forgetGone(const instance_directory& directory)
+{
+    for (auto item = m_evidence.begin(); item != m_evidence.end();) {
+        const bool isGone = !directory.find(item->first) && item->second.ownInFlight == 0;
+        item = isGone ? m_evidence.erase(item) : std::next(item);
+    }
+}
 
 milliseconds instance_picker::estimateWait(
     milliseconds now, const std::string& service, const instance_directory& directory) const
--- a/policy/instance_picker.h
+++ b/policy/instance_picker.h
@@ -69,13 +69,14 @@
     /// Takes in the load that an instance's node stated.
     void onReport(const std::string& id, milliseconds now, const slot_report& report);
 
-    /// Forgets what is known of an instance, as after a new start.
-    void forget(const std::string& id);
-
     /// @return the expected wait at the best instance of a service, for Retry-After.
     milliseconds estimateWait(
         milliseconds now, const std::string& service, const instance_directory& directory) const;
 
+    /// Forgets instances that are no longer listed.
+    void forgetGone(const instance_directory& directory);
+
+private:
     /// What is known of one instance.
     struct evidence {
         int ownInFlight = 0;
@@ -89,10 +90,6 @@
         milliseconds avoidSpan;
     };
 
-    /// @return what is known by instance id.
-    const std::map<std::string, evidence>& getEvidence() const { return m_evidence; }
-
-private:
     struct priced {
         const instance_directory::entry* candidate;
         double cost;
--- a/tests/mesh/mesh_node_test.cpp
+++ b/tests/mesh/mesh_node_test.cpp
@@ -1,5 +1,10 @@
+#include "platform/target_speech.h"
 #include "tests/mesh/test_mesh.h"
 
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <thread>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace fuchsiagauge;
@@ -273,6 +278,20 @@
     CHECK(twin.received.empty());
 }
 
+TEST(mesh_node, aTickThatIsDueDoesNotOutliveTheNode)
+{
+    boost::asio::io_context io;
+    mesh_settings config;
+    config.callersListener = config.peersListener = config.readyListener = { "127.0.0.1", 0 };
+    auto node = std::make_unique<mesh_node>(io, config, makePlatformProtocol());
+    CHECK(node->start());
+    std::this_thread::sleep_for(std::chrono::milliseconds(30));
+    // The expired timer's handler is queued with this turn, behind the one that ends the node.
+    boost::asio::post(io, [&] { node.reset(); });
+    io.run_for(std::chrono::milliseconds(100));
+    CHECK(node == nullptr);
+}
+
 TEST(mesh_node, aStoppingNodeEndsWhatIsInFlight)
 {
     auto& entry = mesh.addVm("i-1", "front");
--- a/tests/policy/instance_picker_test.cpp
+++ b/tests/policy/instance_picker_test.cpp
@@ -118,6 +118,17 @@
     STRCMP_EQUAL("near", choose().c_str());
 }
 
+TEST(instance_picker, anInstanceThatComesBackAfterItWasGoneStartsAnew)
+{
+    list("own", "a");
+    list("near", "b");
+    end("own", attempt_evidence::Unreachable);
+    directory.remove("own", now);
+    picker.forgetGone(directory);
+    list("own", "a");
+    STRCMP_EQUAL("own", choose().c_str());
+}
+
 TEST(instance_picker, aCancelledAttemptSaysNothing)
 {
     list("own", "a");
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -88,12 +88,6 @@
                 close();
         }
 
-        void closeWhenIdle()
-        {
-            if (m_calls.empty() && m_unsent.empty() && !m_parser->got_some())
-                close();
-        }
-
         void close()
         {
             if (m_isClosed)
@@ -440,6 +434,4 @@
 
 std::size_t http_server::getOpenCalls() const { return m_state->openCalls; }
 
-std::size_t http_server::getConnectionCount() const { return m_state->connections.size(); }
-
 } // namespace fuchsiagauge
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -50,9 +50,6 @@
     /// @return requests that have not been answered and written.
     std::size_t getOpenCalls() const;
 
-    /// @return open connections.
-    std::size_t getConnectionCount() const;
-
     struct state;
 
 private:
--- a/transport/outgoing_pool.cpp
+++ b/transport/outgoing_pool.cpp
@@ -108,7 +108,6 @@
     pool_limits limits;
     std::unordered_set<std::shared_ptr<connection>> connections;
     std::vector<std::shared_ptr<connection>> idle; ///< The one used last at the back.
-    std::size_t openedCount = 0;
     std::size_t busyCount = 0;
 };
 
@@ -147,7 +146,6 @@
 
 void outgoing_pool::connection::connect()
 {
-    ++m_owner->openedCount;
     m_socket.async_connect(
         m_owner->endpoint, [self = shared_from_this()](const boost::system::error_code& code) {
             if (!self->m_isClosed)
@@ -384,7 +382,11 @@
         if (m_state->connections.size() >= m_state->limits.connections) {
             outgoing_result result;
             result.failure = { error_kind::TargetUnreachable, "too many connections" };
-            asio::post(m_state->io, [result, onResult = std::move(onResult)] { onResult(result); });
+            asio::post(
+                m_state->io, [weak = std::weak_ptr<state>(m_state), result, onResult = std::move(onResult)] {
+                    if (weak.lock())
+                        onResult(result);
+                });
             return {};
         }
         chosen = std::make_shared<connection>(m_state->io, m_state);
@@ -417,10 +419,6 @@
         one->close();
 }
 
-const address& outgoing_pool::getRemote() const { return m_state->remote; }
-
-std::size_t outgoing_pool::getOpenedCount() const { return m_state->openedCount; }
-
 std::size_t outgoing_pool::getBusyCount() const { return m_state->busyCount; }
 
 } // namespace fuchsiagauge
--- a/transport/outgoing_pool.h
+++ b/transport/outgoing_pool.h
@@ -76,11 +76,6 @@
     /// Closes idle connections, as after word that the other side has been replaced.
     void closeIdle();
 
-    const address& getRemote() const;
-
-    /// @return connections opened since the start.
-    std::size_t getOpenedCount() const;
-
     /// @return calls under way.
     std::size_t getBusyCount() const;
 
