--- a/core/settings_reader.cpp
+++ b/core/settings_reader.cpp
@@ -107,6 +107,7 @@
     std::vector<std::string> getKnownKeys(const std::vector<setting_row>& table)
     {
         std::vector<std::string> keys;
+        keys.reserve(table.size());
         for (const auto& row : table)
             keys.emplace_back(row.key);
         return keys;
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -173,10 +173,11 @@
     noteSpill(chosen);
     if (chosen.record.target == m_context.config.target) {
         const auto self = shared_from_this();
-        const auto run = m_context.target.run(m_incoming->getRequest(), call, [self](attempt_result result) {
-            self->m_localRun = 0;
-            self->onAttemptEnd(std::move(result));
-        });
+        const auto run
+            = m_context.target.run(m_incoming->getRequest(), call, [self](const attempt_result& result) {
+                  self->m_localRun = 0;
+                  self->onAttemptEnd(result);
+              });
         if (m_hasOpenAttempt && m_instance == call.instance)
             m_localRun = run;
         return;
@@ -245,7 +246,7 @@
     return result;
 }
 
-void outbound_call::onAttemptEnd(attempt_result result)
+void outbound_call::onAttemptEnd(const attempt_result& result)
 {
     m_hasOpenAttempt = false;
     noteEvidence(result);
--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -44,7 +44,7 @@
     void noteSpill(const instance_directory::entry& chosen);
     void sendToPeer(const instance_directory::entry& chosen, const peer_call& call);
     attempt_result readPeerResult(outgoing_result outgoing) const;
-    void onAttemptEnd(attempt_result result);
+    void onAttemptEnd(const attempt_result& result);
     void noteEvidence(const attempt_result& result);
     bool mayRepeat(const attempt_result& result);
     void answer(const attempt_result& result);
--- a/tests/mesh/test_mesh.cpp
+++ b/tests/mesh/test_mesh.cpp
@@ -90,7 +90,7 @@
         one->node->takeListing(listed);
 }
 
-void test_mesh::publish(traffic_rules rules)
+void test_mesh::publish(const traffic_rules& rules)
 {
     for (const auto& one : m_vms)
         one->node->takeRules(rules);
@@ -153,7 +153,7 @@
 }
 
 std::function<void(const std::shared_ptr<incoming_call>&)> test_mesh::answering(
-    int status, std::vector<call_field> fields)
+    int status, const std::vector<call_field>& fields)
 {
     return [status, fields](const std::shared_ptr<incoming_call>& call) {
         answer_head head;
--- a/tests/mesh/test_mesh.h
+++ b/tests/mesh/test_mesh.h
@@ -42,7 +42,7 @@
     void listAll();
 
     /// Puts rules in force at every node.
-    void publish(fuchsiagauge::traffic_rules rules);
+    void publish(const fuchsiagauge::traffic_rules& rules);
 
     /// @return rules with one route `/` of host `shop` to a service.
     static fuchsiagauge::traffic_rules makeRules(const std::string& service, bool isIdempotent);
@@ -66,7 +66,7 @@
 
     /// @return a script that answers with a status and header fields.
     static std::function<void(const std::shared_ptr<fuchsiagauge::incoming_call>&)> answering(
-        int status, std::vector<fuchsiagauge::call_field> fields = {});
+        int status, const std::vector<fuchsiagauge::call_field>& fields = {});
 
     /// @return a script that closes the connection in place of an answer.
     static std::function<void(const std::shared_ptr<fuchsiagauge::incoming_call>&)> dropping();
--- a/tests/transport/outgoing_pool_test.cpp
+++ b/tests/transport/outgoing_pool_test.cpp
@@ -253,7 +253,8 @@
 
 TEST(outgoing_pool, anAnswerBeforeTheWholeRequestEndsTheConnection)
 {
-    const std::string large(8 * 1024 * 1024, 'x');
+    constexpr std::size_t largeBytes = 8388608;
+    const std::string large(largeBytes, 'x');
     acceptor.set_option(asio::socket_base::receive_buffer_size(4096));
     send("a", large);
     runUntil([&] { return !connections.empty(); });
--- a/transport/message_text.cpp
+++ b/transport/message_text.cpp
@@ -1,6 +1,7 @@
 #include "transport/message_text.h"
 
 #include <boost/beast/http/status.hpp>
+#include <ostream>
 
 namespace fuchsiagauge {
 namespace {
