policy: Price a call's way by what its parent can spare

A catalogue request has 800 ms and makes five tracker calls one after the other; each could wait half of the tracker route's own target, 150 ms, before it left the region.

Test: instance_picker, leavesTheRegionSoonerWithLittleTimeToSpare.

--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -9,6 +9,8 @@
     constexpr int maxChoices = 4; ///< Instances chosen for one request, refusals at the gate included.
     constexpr double queueShare = 0.7; ///< Of the latency target; the rest is left for the work itself.
     constexpr milliseconds shortestAttempt { 5 }; ///< With less time left no attempt is made.
+    /// Of the time that a call's parent has left: a parent makes about five calls one after the other.
+    constexpr double callSpareShare = 0.2;
     constexpr double wholeBudget = 1;
     constexpr double importantCallShare = 0.9;
     constexpr double otherCallShare = 0.5;
@@ -148,10 +150,20 @@
         if (again && !again->record.isDraining && !m_mayHaveRun)
             return again;
     }
-    const pick_request wanted { m_service, m_route->latencyTarget, m_route->isIdempotent, m_tried };
+    const pick_request wanted { m_service, m_route->latencyTarget, getSpareTime(now), m_route->isIdempotent,
+        m_tried };
     return m_context.picker.choose(now, wanted, m_context.directory);
 }
 
+/// The time that this request can lose on its way without harm. A call has a part of what its parent has left,
+/// as it is one of several.
+milliseconds outbound_call::getSpareTime(milliseconds now) const
+{
+    if (!m_parent)
+        return m_route->latencyTarget;
+    return std::min(m_route->latencyTarget, (m_expiresAt - now) * callSpareShare);
+}
+
 void outbound_call::send(const instance_directory::entry& chosen)
 {
     const auto now = m_context.time.now();
--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -54,6 +54,7 @@
     bool cancelAttempt();
     void end();
     milliseconds getStartBy() const;
+    milliseconds getSpareTime(milliseconds now) const;
 
     mesh_context& m_context;
     std::shared_ptr<incoming_call> m_incoming;
--- a/policy/instance_picker.cpp
+++ b/policy/instance_picker.cpp
@@ -9,7 +9,7 @@
 namespace fuchsiagauge {
 namespace {
 
-    /// Shares of the latency target: the wait in the own zone that is borne before another is used.
+    /// Shares of the spare time: the wait in the own zone that is borne before another is used.
     constexpr double otherZoneShare = 0.1;
     constexpr double otherRegionShare = 0.5;
     constexpr double comfortShare = 0.4; ///< Of the latency target: run times below it hardly count.
@@ -152,10 +152,10 @@
 
 double instance_picker::getDistanceCost(const pick_request& request, const std::string& zone) const
 {
-    const double targetMs = request.latencyTarget.getCount();
+    const double spareMs = request.spareTime.getCount();
     if (zone == m_place.zone)
         return 0;
-    return m_place.isSameRegion(zone, m_place.zone) ? otherZoneShare * targetMs : otherRegionShare * targetMs;
+    return m_place.isSameRegion(zone, m_place.zone) ? otherZoneShare * spareMs : otherRegionShare * spareMs;
 }
 
 double instance_picker::getWait(milliseconds now, const evidence& known)
--- a/policy/instance_picker.h
+++ b/policy/instance_picker.h
@@ -25,6 +25,7 @@
 struct pick_request {
     std::string service;
     milliseconds latencyTarget; ///< Time within which the answer has its full value.
+    milliseconds spareTime; ///< What it can lose on its way without harm; at most the latency target.
     bool isIdempotent = false;
     std::vector<std::string> tried; ///< Instances that are not to be chosen.
 };
@@ -44,9 +45,9 @@
 ///
 /// Each candidate has a cost in milliseconds: the expected wait and run time there, a surcharge for leaving
 /// the availability zone and the region, and one for recent failures. The least cost wins. An answer that
-/// comes within the latency target has its full value, so the surcharges are shares of that target: a near
-/// instance is used as long as its queue leaves the answer in time, then a farther one. Everything learned
-/// fades, so an instance that was avoided is tried again.
+/// comes within the latency target has its full value, so the surcharges for distance are shares of the time
+/// that the request can spare: a near instance is used as long as its queue leaves the answer in time, then a
+/// farther one. Everything learned fades, so an instance that was avoided is tried again.
 class instance_picker {
 public:
     using random_hook = std::function<double()>;
--- a/tests/policy/instance_picker_test.cpp
+++ b/tests/policy/instance_picker_test.cpp
@@ -11,6 +11,7 @@
     instance_picker picker { { "a", { { "a", "west" }, { "b", "west" }, { "c", "east" } } },
         [] { return 0.5; } };
     milliseconds now { 100000 };
+    milliseconds spareTime { 1000 };
 
     void list(const std::string& id, const std::string& zone, bool isDraining = false)
     {
@@ -26,8 +27,8 @@
     /// An order: newcomers are tried only with requests that may be repeated.
     std::string choose(std::vector<std::string> tried = {}, bool isIdempotent = false)
     {
-        const auto* chosen
-            = picker.choose(now, { "orders", milliseconds(1000), isIdempotent, std::move(tried) }, directory);
+        const auto* chosen = picker.choose(
+            now, { "orders", milliseconds(1000), spareTime, isIdempotent, std::move(tried) }, directory);
         return chosen ? chosen->record.id : std::string("none");
     }
 
@@ -60,6 +61,16 @@
     STRCMP_EQUAL("near", choose().c_str());
 }
 
+TEST(instance_picker, leavesTheRegionSoonerWithLittleTimeToSpare)
+{
+    list("own", "a");
+    list("far", "c");
+    picker.onReport("own", now, { 10, 10, 10, milliseconds(100) });
+    STRCMP_EQUAL("own", choose().c_str());
+    spareTime = milliseconds(100);
+    STRCMP_EQUAL("far", choose().c_str());
+}
+
 TEST(instance_picker, anOldReportFades)
 {
     list("own", "a");
