platform, mesh: Read changes at once when an instance is not the listed one

Cause: after a loss of power all instances come back under new ids.

Ruled out: a shorter pause for everybody; each call to the store is priced and counts against the fleet's rate.

Change: a 421 cuts the pause to 0.1 s.

Tests: store_client, doesNotGatherChangesOnceWhatIsKnownHasProvedStale; mesh_node, anAddressThatAnotherInstanceHasIsLeftAtOnce asks for the hook.

--- a/mesh/mesh_context.h
+++ b/mesh/mesh_context.h
@@ -31,6 +31,7 @@
     mesh_counters& counters;
     decision_log& log;
     std::function<double()> random; ///< In [0, 1).
+    std::function<void()> onStale; ///< An instance is not the one that is listed; may be empty.
 };
 
 } // namespace fuchsiagauge
--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -104,7 +104,7 @@
           [this](const std::string& requestId) { onAskAgain(requestId); })
     , peers(context, time)
     , parts { config, time, protocol, std::make_shared<const traffic_rules>(), directory, picker, splits,
-        target, peers, counters, log, random }
+        target, peers, counters, log, random, {} }
     , callers(context, time, config.maxConnections,
           [this](const std::shared_ptr<incoming_call>& call) { takeClientCall(call); })
     , otherNodes(context, time, config.maxConnections,
@@ -363,6 +363,8 @@
     m_state->directory.remove(id, m_state->time.now());
 }
 
+void mesh_node::setStaleHook(std::function<void()> onStale) { m_state->parts.onStale = std::move(onStale); }
+
 void mesh_node::notePlatformLost(const std::string& why)
 {
     m_state->counters.platformFailures.add();
--- a/mesh/mesh_node.h
+++ b/mesh/mesh_node.h
@@ -50,6 +50,9 @@
     /// Takes in that an instance is no longer listed, or that its entry can't be used.
     void takeRemoval(const std::string& id, const std::string& why);
 
+    /// Sets what is called when an instance turns out not to be the one that is listed.
+    void setStaleHook(std::function<void()> onStale);
+
     /// Takes in that the platform can't be reached.
     void notePlatformLost(const std::string& why);
 
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -308,6 +308,8 @@
                 { "detail", result.detail } });
     }
     m_context.counters.countAttempt(m_instance, result.outcome);
+    if (evidence == attempt_evidence::Misdirected && m_context.onStale)
+        m_context.onStale();
 }
 
 /// Decides whether another instance is tried. What an instance has seen counts against the route's bound; the
--- a/tests/mesh/mesh_node_test.cpp
+++ b/tests/mesh/mesh_node_test.cpp
@@ -222,10 +222,13 @@
     auto& first = mesh.addVm("i-2", "orders", "a");
     auto& second = mesh.addVm("i-3", "orders", "b");
     first.script = test_mesh::answering(421);
+    int staleCount = 0;
+    entry.node->setStaleHook([&] { ++staleCount; });
     mesh.listAll();
     mesh.publish(test_mesh::makeRules("orders", false));
     LONGS_EQUAL(200, mesh.await(mesh.send(entry, "id-1")).head.status);
     CHECK_EQUAL(1U, second.received.size());
+    LONGS_EQUAL(1, staleCount);
 }
 
 TEST(mesh_node, goesElsewhereWhenTheInstanceIsDown)
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -47,6 +47,7 @@
     std::vector<std::string> removals;
     std::vector<std::string> losses;
     int regained = 0;
+    milliseconds gatherTime { 1 };
 
     void serve(const std::shared_ptr<incoming_call>& call)
     {
@@ -74,7 +75,8 @@
         options.prefix = "";
         options.firstRetryDelay = milliseconds(1);
         options.longestRetryDelay = milliseconds(2);
-        options.gatherTime = milliseconds(1);
+        options.gatherTime = gatherTime;
+        options.shortGatherTime = milliseconds(1);
         client = std::make_unique<store_client>(io, fuchsiagauge::clock::makeBoot(), options,
             store_client::hooks { [] { return 0.5; },
                 [this](std::vector<stored_item> listed) { listings.push_back(std::move(listed)); },
@@ -92,13 +94,18 @@
         io.poll();
     }
 
-    /// Runs until the script is over and a watch waits.
-    void runScript()
+    void runUntil(const std::function<bool()>& isMet)
     {
         const auto end = std::chrono::steady_clock::now() + longestRun;
-        while (!waiting && std::chrono::steady_clock::now() < end)
+        while (!isMet() && std::chrono::steady_clock::now() < end)
             io.run_one_for(std::chrono::milliseconds(50));
-        CHECK(waiting != nullptr);
+        CHECK(isMet());
+    }
+
+    /// Runs until the script is over and a watch waits.
+    void runScript()
+    {
+        runUntil([this] { return waiting != nullptr; });
     }
 };
 
@@ -126,6 +133,20 @@
     CHECK(asked.back().find("after=14&") != std::string::npos);
 }
 
+TEST(store_client, doesNotGatherChangesOnceWhatIsKnownHasProvedStale)
+{
+    gatherTime = milliseconds(1e7);
+    start({ { 200, lastPage },
+        { 200,
+            R"({"events":[{"key":"servers/i-2","value":"eA==","rev":13,"created":13,"lease":1}],
+            "storeRevision":13})" } });
+    runUntil([this] { return items.size() == 1; });
+    CHECK(waiting == nullptr);
+    client->hurry();
+    runScript();
+    CHECK(asked.back().find("after=13&") != std::string::npos);
+}
+
 TEST(store_client, anEventThatCantBeReadNamesNothingToUse)
 {
     start({ { 200, lastPage },
