mesh: Let what was shed come back later

Cause: in the seconds after the whole fleet restarts cold the services below carry half of their load. Requests refused at the entry came back after 0.2 to 0.7 s and were mostly refused again, and clients return only once.

Change: a request that is shed comes back after a sixth to a third of the time that its client has left, which is the most that clients honour.

Test: mesh_node, whatIsShedComesBackWithinWhatClientsHonour.

--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -17,7 +17,8 @@
     constexpr int gatewayTimeoutStatus = 504;
     constexpr int firstServerErrorStatus = 500;
     constexpr double retryAfterShare = 0.4; ///< Of the latency target, on average.
-    constexpr double longestRetryAfterS = 1; ///< Clients wait at most a third of the time they have left.
+    constexpr double longestRetryAfterS = 1; ///< Longer pauses miss the latency target of most routes.
+    constexpr double honouredShare = 1.0 / 3; ///< Clients wait at most this part of the time they have left.
     constexpr double unroutedRetryAfterS = 0.3; ///< A node that starts knows the routes within it.
     constexpr double msPerSecond = 1000;
 
@@ -83,13 +84,13 @@
     m_terms = m_context.protocol.readClient(request.fields);
     m_expiresAt = m_incoming->getArrival() + m_terms.timeLeft.value_or(milliseconds(1e9));
     if (!m_rules || m_rules->version == 0) {
-        answerError(unavailableStatus, "no-rules", "no routes are known yet", true);
+        answerError(unavailableStatus, "no-rules", "no routes are known yet", unroutedRetryAfterS);
         return false;
     }
     m_route = m_rules->findRoute(m_terms.host, request.getPath());
     if (!m_route) {
-        answerError(
-            notFoundStatus, "no-route", "no route of version " + std::to_string(m_rules->version), false);
+        answerError(notFoundStatus, "no-route", "no route of version " + std::to_string(m_rules->version),
+            std::nullopt);
         return false;
     }
     m_expiresAt = std::min(m_expiresAt, m_incoming->getArrival() + m_route->timeout);
@@ -383,16 +384,16 @@
         const bool isRejected
             = last.outcome == attempt_outcome::Rejected || last.outcome == attempt_outcome::OverBudget;
         noteFailureBelow(isRejected ? failure_below::Rejected : failure_below::NoRoom);
-        answerError(unavailableStatus, word, last.detail, true);
+        answerError(unavailableStatus, word, last.detail, getRetryAfterS(last.outcome));
         return;
     }
     noteFailureBelow(failure_below::Failed);
     const bool isTimeout = last.outcome == attempt_outcome::TimedOut;
-    answerError(isTimeout ? gatewayTimeoutStatus : badGatewayStatus, word, last.detail, false);
+    answerError(isTimeout ? gatewayTimeoutStatus : badGatewayStatus, word, last.detail, std::nullopt);
 }
 
 void outbound_call::answerError(
-    int status, const std::string& word, const std::string& detail, bool mayComeBack)
+    int status, const std::string& word, const std::string& detail, std::optional<double> retryAfterS)
 {
     const auto now = m_context.time.now();
     const auto latency = now - m_incoming->getArrival();
@@ -408,19 +409,22 @@
     answer_head head;
     head.status = status;
     head.fields.add("Content-Type", "application/json");
-    if (mayComeBack) {
-        head.fields.add("Retry-After", formatSeconds(getRetryAfterS(now)));
-    }
+    if (retryAfterS)
+        head.fields.add("Retry-After", formatSeconds(*retryAfterS));
     end();
     m_incoming->answer(head, "{\"error\":\"" + word + "\"}\n");
 }
 
 /// Spreads the returns over a part of the latency target, so that most of them still come in time and not at
-/// once.
-double outbound_call::getRetryAfterS(milliseconds now) const
+/// once. What was shed comes back later: the services below are overloaded, and most of the requests that
+/// return while they still are would be lost.
+double outbound_call::getRetryAfterS(attempt_outcome last) const
 {
-    if (!m_route)
-        return unroutedRetryAfterS;
+    const auto now = m_context.time.now();
+    if (last == attempt_outcome::Shed && m_terms.timeLeft) {
+        const auto left = *m_terms.timeLeft - (now - m_incoming->getArrival());
+        return left.getCount() / msPerSecond * honouredShare * (0.5 + 0.5 * m_context.random());
+    }
     const auto wait = m_context.picker.estimateWait(now, m_service, m_context.directory);
     const auto pause = m_route->latencyTarget * (retryAfterShare * (0.5 + m_context.random())) + wait;
     return std::min(pause.getCount() / msPerSecond, longestRetryAfterS);
--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -37,7 +37,7 @@
     void inherit();
     void noteFailureBelow(failure_below failure);
     const instance_directory::entry* choose(milliseconds now);
-    double getRetryAfterS(milliseconds now) const;
+    double getRetryAfterS(attempt_outcome last) const;
     void attempt();
     void send(const instance_directory::entry& chosen);
     void noteSpill(const instance_directory::entry& chosen);
@@ -50,7 +50,8 @@
     void conclude(const attempt_result& last);
     void answer(const attempt_result& result);
     void fail(const attempt_result& last);
-    void answerError(int status, const std::string& word, const std::string& detail, bool mayComeBack);
+    void answerError(
+        int status, const std::string& word, const std::string& detail, std::optional<double> retryAfterS);
     void giveUp();
     bool cancelAttempt();
     void end();
--- a/tests/mesh/mesh_node_test.cpp
+++ b/tests/mesh/mesh_node_test.cpp
@@ -321,6 +321,29 @@
 
 TEST(mesh_node, aFailureFurtherDownIsNotRepeatedAbove) { expectNoRepeatAbove(test_mesh::dropping(), 502); }
 
+TEST(mesh_node, whatIsShedComesBackWithinWhatClientsHonour)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    entry.script = test_mesh::answering(504);
+    mesh.listAll();
+    auto rules = test_mesh::makeRules("front", true);
+    rules.routes[0].maxInstances = 1;
+    mesh.publish(rules);
+    std::optional<outgoing_result> shed;
+    std::size_t sent = 0;
+    mesh.runUntil([&] {
+        const auto& answer = mesh.await(
+            mesh.send(entry, "id-" + std::to_string(++sent), "/x", { { "Request-Deadline", "6000" } }));
+        if (answer.head.status == 503)
+            shed = answer;
+        return shed.has_value();
+    });
+    CHECK(shed->body.find("shed") != std::string::npos);
+    const auto pauseS = std::stod(shed->head.fields.get("Retry-After"));
+    CHECK(pauseS > 0.9);
+    CHECK(pauseS <= 2);
+}
+
 TEST(mesh_node, refusesWhatComesLateInAShutdown)
 {
     auto& entry = mesh.addVm("i-1", "front");
