--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -6,7 +6,6 @@
 namespace fuchsiagauge {
 namespace {
 
-    constexpr int maxChoices = 4; ///< Instances chosen for one request, refusals at the gate included.
     constexpr double queueShare = 0.7; ///< Of the latency target; the rest is left for the work itself.
     constexpr milliseconds shortestAttempt { 5 }; ///< With less time left no attempt is made.
     /// Of the time that a call's parent has left: a parent makes about five calls one after the other.
@@ -95,6 +94,7 @@
     }
     m_expiresAt = std::min(m_expiresAt, m_incoming->getArrival() + m_route->timeout);
     m_service = m_context.splits.choose(*m_route);
+    m_history = attempt_history(m_route->maxInstances, m_route->isIdempotent);
     inherit();
     m_context.protocol.cleanClientFields(request.fields);
     return true;
@@ -139,21 +139,18 @@
     send(*chosen);
 }
 
-/// Chooses the instance for the next attempt. Once as many instances have seen the request as the route
-/// allows, only one that refused it may be asked again.
 const instance_directory::entry* outbound_call::choose(milliseconds now)
 {
-    if (static_cast<int>(m_seenBy.size()) >= m_route->maxInstances) {
-        const auto* again = m_context.directory.find(m_seenBy.back());
-        if (again && !again->record.isDraining && !m_run)
-            return again;
-    }
+    const auto* again = m_context.directory.find(m_history.getOnlyInstance());
+    if (again && !again->record.isDraining)
+        return again;
     return m_context.picker.choose(now, makePickRequest(now), m_context.directory);
 }
 
 pick_request outbound_call::makePickRequest(milliseconds now) const
 {
-    return { m_service, m_route->latencyTarget, getSpareTime(now), m_route->isIdempotent, m_tried };
+    return { m_service, m_route->latencyTarget, getSpareTime(now), m_route->isIdempotent,
+        m_history.getTried() };
 }
 
 /// The time that this request can lose on its way without harm. A call has a part of what its parent has
@@ -168,9 +165,8 @@
 void outbound_call::send(const instance_directory::entry& chosen)
 {
     const auto now = m_context.time.now();
-    ++m_choices;
     m_instance = chosen.record.id;
-    m_tried.push_back(m_instance);
+    m_history.onSend(m_instance);
     m_hasOpenAttempt = true;
     m_sentAt = now;
     m_context.picker.onSend(m_instance, now);
@@ -202,7 +198,7 @@
 
 repeat_kind outbound_call::getRepeatKind() const
 {
-    if (!m_seenBy.empty())
+    if (m_history.wasSeen())
         return repeat_kind::Own;
     return m_parent && m_parent->isRepeat ? repeat_kind::Inherited : repeat_kind::None;
 }
@@ -221,7 +217,7 @@
     m_context.log.write(decision::RequestSpilled, m_terms.requestId,
         { { "route", m_route->name }, { "service", m_service }, { "instance", m_instance },
             { "from", place.zone }, { "to", chosen.record.zone },
-            { "attempt", static_cast<double>(m_choices) } });
+            { "attempt", static_cast<double>(m_history.getTried().size()) } });
 }
 
 void outbound_call::sendToPeer(const instance_directory::entry& chosen, const peer_call& call)
@@ -317,41 +313,29 @@
         m_context.onStale();
 }
 
-/// Decides whether another instance is tried. What an instance has seen counts against the route's bound; the
-/// fleet's budget is kept by the node beside the next instance.
+/// Decides whether another attempt follows; the fleet's budget for repeats is kept by the node beside the
+/// next instance.
 bool outbound_call::mayRepeat(const attempt_result& result)
 {
-    const bool wasSeen = result.outcome != attempt_outcome::NoRoom && result.outcome != attempt_outcome::Shed
-        && result.outcome != attempt_outcome::OverBudget && result.outcome != attempt_outcome::Leaving
-        && result.outcome != attempt_outcome::Unreachable;
-    const bool isNewInstance = std::find(m_seenBy.begin(), m_seenBy.end(), m_instance) == m_seenBy.end();
-    if (wasSeen && isNewInstance)
-        m_seenBy.push_back(m_instance);
-    const bool isFinal
-        = result.outcome == attempt_outcome::Shed || result.outcome == attempt_outcome::OverBudget;
-    if (m_choices >= maxChoices || isFinal)
-        return false;
-    const bool isUsedUp = static_cast<int>(m_seenBy.size()) >= m_route->maxInstances;
-    if (isUsedUp && result.outcome != attempt_outcome::Rejected)
-        return false;
-    const auto now = m_context.time.now();
-    if (m_expiresAt - now < shortestAttempt)
-        return false;
-    const bool mayRunAgain = m_route->isIdempotent || hasNotRun(result.outcome);
-    // Where a call further down failed, that call was the one to repeat: a repeat here would make all calls
-    // again.
-    if (!mayRunAgain || result.below != failure_below::None)
+    m_history.onEnd(result.outcome);
+    const bool hasTime = m_expiresAt - m_context.time.now() >= shortestAttempt;
+    if (!hasTime || !m_history.mayGoOn(result.outcome, result.below))
         return false;
-    if (wasSeen) {
-        m_context.counters.repeats.add();
-        m_context.log.write(decision::RequestRepeated, m_terms.requestId,
-            { { "route", m_route->name }, { "instance", m_instance },
-                { "outcome", std::string(getAttemptOutcomeName(result.outcome)) },
-                { "status", static_cast<double>(result.head.status) }, { "detail", result.detail } });
-    }
+    if (hasBeenSeen(result.outcome))
+        noteRepeat(result);
     return true;
 }
 
+void outbound_call::noteRepeat(const attempt_result& result)
+{
+    m_context.counters.repeats.add();
+    const int status = result.outcome == attempt_outcome::Answered ? result.head.status : 0;
+    m_context.log.write(decision::RequestRepeated, m_terms.requestId,
+        { { "route", m_route->name }, { "instance", m_instance },
+            { "outcome", std::string(getAttemptOutcomeName(result.outcome)) },
+            { "status", static_cast<double>(status) }, { "detail", result.detail } });
+}
+
 void outbound_call::answer(const attempt_result& result)
 {
     const auto now = m_context.time.now();
@@ -365,7 +349,7 @@
                 { "reason",
                     std::string(result.below == failure_below::None ? "instance" : "failed further down") },
                 { "status", static_cast<double>(result.head.status) }, { "ms", latency.getCount() },
-                { "attempts", static_cast<double>(m_choices) } });
+                { "attempts", static_cast<double>(m_history.getTried().size()) } });
     }
     if (result.head.status >= firstServerErrorStatus)
         noteFailureBelow(std::max(result.below, failure_below::Failed));
@@ -408,7 +392,8 @@
     m_context.log.write(kind, m_terms.requestId,
         { { "route", routeName }, { "service", m_service }, { "instance", m_instance }, { "reason", word },
             { "detail", detail }, { "status", static_cast<double>(status) }, { "ms", latency.getCount() },
-            { "attempts", static_cast<double>(m_choices) }, { "left_ms", (m_expiresAt - now).getCount() },
+            { "attempts", static_cast<double>(m_history.getTried().size()) },
+            { "left_ms", (m_expiresAt - now).getCount() },
             { "rules", static_cast<double>(m_rules ? m_rules->version : 0) } });
     answer_head head;
     head.status = status;
--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -3,12 +3,12 @@
 #include "core/traffic_rules.h"
 #include "mesh/local_target.h"
 #include "mesh/mesh_context.h"
+#include "policy/attempt_history.h"
 #include "transport/incoming_call.h"
 
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace fuchsiagauge {
 
@@ -48,6 +48,7 @@
     void noteEvidence(const attempt_result& result);
     repeat_kind getRepeatKind() const;
     bool mayRepeat(const attempt_result& result);
+    void noteRepeat(const attempt_result& result);
     void conclude(const attempt_result& last);
     void answer(const attempt_result& result);
     void fail(const attempt_result& last);
@@ -69,13 +70,11 @@
     std::optional<parent_run> m_parent; ///< The request that the local instance makes this call for.
     std::string m_service;
     milliseconds m_expiresAt;
-    std::vector<std::string> m_tried; ///< Instances that are not chosen again.
-    std::vector<std::string> m_seenBy; ///< Instances that may have seen the request.
+    attempt_history m_history { 1, false };
     std::string m_instance; ///< Of the attempt under way.
     milliseconds m_sentAt; ///< Of the attempt under way.
     outgoing_pool::handle m_peerCall;
     std::uint64_t m_localRun = 0; ///< 0: none.
-    int m_choices = 0; ///< Instances chosen.
     bool m_hasOpenAttempt = false;
     std::optional<attempt_result> m_run; ///< Of the last attempt that may have run the request.
     bool m_isEnded = false;
--- /dev/null
+++ b/policy/attempt_history.cpp
@@ -0,0 +1,72 @@
+#include "policy/attempt_history.h"
+
+#include <algorithm>
+
+namespace fuchsiagauge {
+namespace {
+
+    constexpr std::size_t maxAttempts = 4; ///< For one request, refusals at the gates included.
+
+} // namespace
+
+bool hasBeenSeen(attempt_outcome outcome)
+{
+    switch (outcome) {
+    case attempt_outcome::NoRoom:
+    case attempt_outcome::Shed:
+    case attempt_outcome::OverBudget:
+    case attempt_outcome::Leaving:
+    case attempt_outcome::Unreachable:
+        return false;
+    case attempt_outcome::Answered:
+    case attempt_outcome::Rejected:
+    case attempt_outcome::Misdirected:
+    case attempt_outcome::Lost:
+    case attempt_outcome::TimedOut:
+        break;
+    }
+    return true;
+}
+
+attempt_history::attempt_history(int maxInstances, bool isIdempotent)
+    : m_maxInstances(maxInstances)
+    , m_isIdempotent(isIdempotent)
+{
+}
+
+void attempt_history::onSend(const std::string& instance) { m_tried.push_back(instance); }
+
+void attempt_history::onEnd(attempt_outcome outcome)
+{
+    if (m_tried.empty() || !hasBeenSeen(outcome))
+        return;
+    const auto& instance = m_tried.back();
+    if (std::find(m_seenBy.begin(), m_seenBy.end(), instance) == m_seenBy.end())
+        m_seenBy.push_back(instance);
+    m_mayHaveRun = m_mayHaveRun || !hasNotRun(outcome);
+}
+
+bool attempt_history::mayGoOn(attempt_outcome outcome, failure_below below) const
+{
+    if (m_tried.size() >= maxAttempts)
+        return false;
+    // The services below are overloaded, or the budget is used up: another instance would say the same.
+    if (outcome == attempt_outcome::Shed || outcome == attempt_outcome::OverBudget)
+        return false;
+    if (isUsedUp() && outcome != attempt_outcome::Rejected)
+        return false;
+    // Where a call further down failed, that call was the one to repeat: a repeat here would make all calls
+    // again.
+    if (below != failure_below::None)
+        return false;
+    return m_isIdempotent || hasNotRun(outcome);
+}
+
+std::string attempt_history::getOnlyInstance() const
+{
+    return isUsedUp() && !m_mayHaveRun ? m_seenBy.back() : std::string();
+}
+
+bool attempt_history::isUsedUp() const { return static_cast<int>(m_seenBy.size()) >= m_maxInstances; }
+
+} // namespace fuchsiagauge
