misc: Tell known red outcomes of the demo apart, name a port that is taken

Cause: make demo, the newcomer's first command, ended with an error where only the added latency that KNOWN-RED.txt lists missed its bound; two runs of make prove at once ended in a traceback.

--- a/misc/demo.py
+++ b/misc/demo.py
@@ -1,12 +1,14 @@
 #!/usr/bin/env python3
 """Starts a small two-region system on loopback, overloads it and lets it recover, then judges what was seen.
 
-Prints a table and one line for each outcome; exits 0 only if every outcome held.
+Prints a table and one line for each outcome; exits 0 only if every outcome held, but for those that KNOWN-RED.txt
+lists.
 """
 
 import argparse
 import collections
 import json
+import re
 import statistics
 import subprocess
 import sys
@@ -210,10 +212,19 @@
                   worst <= MAX_SWITCH_S)
 
 
-def print_outcomes(outcomes):
+def read_known_red():
+    """The outcomes of the demo that KNOWN-RED.txt lists, each as `make demo, outcome "TEXT"`."""
+    listed = fleet.ROOT / "KNOWN-RED.txt"
+    if not listed.exists():
+        return set()
+    return set(re.findall(r'make demo, outcome "([^"]+)"', listed.read_text()))
+
+
+def print_outcomes(outcomes, known_red):
     print(f"\n{'outcome':52}{'figure':>28}{'bound':>18}")
     for outcome in outcomes:
-        verdict = "held" if outcome.held else "FAILED"
+        failure = "known red" if outcome.text in known_red else "FAILED"
+        verdict = "held" if outcome.held else failure
         print(f"{outcome.text:52}{outcome.figure:>28}{outcome.bound:>18}  {verdict}")
 
 
@@ -233,8 +244,9 @@
     statuses = system.exit_statuses
     bad = sorted(name for name, status in statuses.items() if name.startswith("node ") and status != 0)
     outcomes.append(Outcome("nodes stop of themselves when asked", f"{len(bad)} did not", "0", not bad))
-    print_outcomes(outcomes)
-    return 0 if all(outcome.held for outcome in outcomes) else 1
+    known_red = read_known_red()
+    print_outcomes(outcomes, known_red)
+    return 0 if all(outcome.held or outcome.text in known_red for outcome in outcomes) else 1
 
 
 def main():
@@ -249,7 +261,7 @@
     except FleetError as failure:
         print(f"demo: {failure}", file=sys.stderr)
         status = 1
-    print("\nevery outcome held" if status == 0 else f"\nnot every outcome held; logs are in {options.out}")
+    print("\nevery outcome held, or is known red" if status == 0 else f"\nnot every outcome held; logs are in {options.out}")
     return status
 
 
--- a/misc/fleet.py
+++ b/misc/fleet.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from fleet_process import FleetError, Process, STOP_TIMEOUT_S, read_json, request, send_json, wait_for
+from fleet_process import FleetError, Process, STOP_TIMEOUT_S, check_port, read_json, request, send_json, wait_for
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
@@ -159,6 +159,8 @@
         for pattern in ("*.log", "*.journal", "*.report.json", "*.record.jsonl"):
             for stale in self.out.glob(pattern):
                 stale.unlink()
+        for first in [self.base_port, *(item.base_port for item in self.instances)]:
+            check_port(HOST, first)
         self.start_platform()
         if self.links:
             self.links.start()
--- a/misc/fleet_process.py
+++ b/misc/fleet_process.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import time
 import urllib.error
@@ -47,6 +48,16 @@
     return json.loads(body)
 
 
+def check_port(host, port):
+    """Raises FleetError in one line if another process has the port."""
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, port))
+        except OSError as failure:
+            raise FleetError(f"port {port} is taken; choose another first port ({failure.strerror})") from failure
+
+
 def wait_for(probe, name):
     """Calls `probe` until it raises no OSError; returns its result or raises FleetError."""
     deadline = time.monotonic() + START_TIMEOUT_S
--- a/misc/prove.py
+++ b/misc/prove.py
@@ -435,8 +435,12 @@
     chosen = [(case, seed) for seed in options.seed or [1] for case in CASES
               if not options.case or case.name in options.case]
     print(HEADER, flush=True)
-    summaries = [run_case(case, seed, options, f"{number + 1}/{len(chosen)}")
-                 for number, (case, seed) in enumerate(chosen)]
+    try:
+        summaries = [run_case(case, seed, options, f"{number + 1}/{len(chosen)}")
+                     for number, (case, seed) in enumerate(chosen)]
+    except FleetError as failure:
+        print(f"prove: {failure}", file=sys.stderr)
+        return 1
     total = add_up(summaries)
     print(format_row("all", len(options.seed or [1]), total))
     print_summary(total)
