--- a/policy/instance_picker.cpp
+++ b/policy/instance_picker.cpp
@@ -108,7 +108,7 @@
             avoidForLonger();
         return;
     case attempt_evidence::Refusal:
-        known.silentSince = now;
+        known.noteAnswer(now);
         return;
     case attempt_evidence::Misdirected:
         avoid(misdirectedAvoidance);
@@ -121,7 +121,7 @@
     case attempt_evidence::Failure:
         break;
     }
-    known.silentSince = now;
+    known.noteAnswer(now);
     const bool isFailure = evidence == attempt_evidence::Failure;
     known.failureRate = getFailureRate(known, now);
     known.failureRate += failureWeight * ((isFailure ? 1 : 0) - known.failureRate);
@@ -155,7 +155,8 @@
 
 bool instance_picker::isSilent(const evidence& known, milliseconds silence)
 {
-    if (known.ownInFlight == 0)
+    // An instance that has not answered yet may just be starting.
+    if (known.ownInFlight == 0 || !known.hasAnswered)
         return false;
     const auto& report = known.report;
     const auto limit
--- a/policy/instance_picker.h
+++ b/policy/instance_picker.h
@@ -98,6 +98,14 @@
         milliseconds reportedAt { -1e9 };
         milliseconds sentAt { -1e9 };
         milliseconds silentSince; ///< Of the last answer, or of the first request after a time without any.
+        bool hasAnswered = false; ///< Since it was listed.
+
+        void noteAnswer(milliseconds now)
+        {
+            silentSince = now;
+            hasAnswered = true;
+        }
+
         double failureRate = 0; ///< Smoothed; fades with time.
         milliseconds failureRateAt;
         milliseconds avoidUntil { -1e9 }; ///< Unreachable, leaving or misdirected.
--- a/tests/policy/instance_picker_test.cpp
+++ b/tests/policy/instance_picker_test.cpp
@@ -76,6 +76,7 @@
     list("own", "a");
     list("near", "b");
     picker.onReport("own", now, { 1, 0, 10, milliseconds(50) });
+    end("own", attempt_evidence::Success);
     for (int count = 0; count < 6; ++count)
         picker.onSend("own", now);
     STRCMP_EQUAL("own", choose().c_str());
@@ -93,15 +94,24 @@
     list("own", "a");
     list("near", "b");
     picker.onReport("own", now, { 1, 0, 10, milliseconds(100) });
+    end("own", attempt_evidence::Success);
     picker.onSend("own", now);
     now = now + milliseconds(600);
     STRCMP_EQUAL("own", choose().c_str());
 }
 
+TEST(instance_picker, anInstanceThatHasNotAnsweredYetIsNotSilent)
+{
+    list("own", "a");
+    picker.onSend("own", now);
+    CHECK_FALSE(picker.isSilent("own", now + milliseconds(2000), now));
+}
+
 TEST(instance_picker, aSilentInstanceIsTriedAgainLaterAndLater)
 {
     list("own", "a");
     list("near", "b");
+    end("own", attempt_evidence::Success);
     for (const double pauseMs : { 250.0, 500.0, 1000.0 }) {
         picker.onSend("own", now);
         now = now + milliseconds(1000);
