platform: Don't take a bad request for one that another instance may run

Cause: read as a newcomer: an instance answers a request without an id with 400 and the field that says it did not run. The node took that for a lack of room, asked the instance again up to six times and a second one after it, and told the client to come back. Test: mesh_node, passesOnThatARequestIsBad (answered 503 before, by reading; the test was not run against the code before); target_speech, tellsWhatTheInstanceDidNotRun. Also names the waits that count as silence.

--- a/mesh/target_protocol.h
+++ b/mesh/target_protocol.h
@@ -26,7 +26,7 @@
 
 /// What a target's answer says besides its status.
 struct target_verdict {
-    bool isRejected = false; ///< The target did not run the request: it had no room or no time.
+    bool isRejected = false; ///< The target did not run the request, but another time or target may.
     bool isMisdirected = false; ///< The target is not the expected instance; it did not run the request.
     int slots = 0; ///< Requests that it runs at once; 0: not stated.
     bool isFull = false; ///< It states that all its slots are in use.
--- a/policy/instance_picker.cpp
+++ b/policy/instance_picker.cpp
@@ -32,6 +32,7 @@
     /// Run times without an answer that are suspicious: one and a part of these by the requests that wait, as
     /// any of them could have been answered.
     constexpr double silentRunTimes = 6;
+    constexpr double silentWaits = 2; ///< Stated waits without an answer that are suspicious besides.
     constexpr double coldFactor = 2; ///< A cold instance takes about twice as long.
     constexpr milliseconds newcomerInterval { 500 }; ///< An instance of the zone without requests gets one.
     constexpr double assumedServiceMs = 50; ///< Of an instance that has not answered yet.
@@ -160,7 +161,7 @@
         return false;
     const auto& report = known.report;
     const auto limit
-        = report.serviceTime * (1 + silentRunTimes / known.ownInFlight) + report.estimateWait() * 2;
+        = report.serviceTime * (1 + silentRunTimes / known.ownInFlight) + report.estimateWait() * silentWaits;
     return silence > std::max(shortestSilence, limit);
 }
 
--- a/tests/mesh/mesh_node_test.cpp
+++ b/tests/mesh/mesh_node_test.cpp
@@ -174,6 +174,17 @@
     }));
 }
 
+TEST(mesh_node, passesOnThatARequestIsBad)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& only = mesh.addVm("i-2", "orders");
+    only.script = test_mesh::answering(400, { { "Not-Run", "1" } });
+    mesh.listAll();
+    mesh.publish(test_mesh::makeRules("orders", true));
+    LONGS_EQUAL(400, mesh.await(mesh.send(entry, "id-1")).head.status);
+    CHECK_EQUAL(1U, only.received.size());
+}
+
 TEST(mesh_node, doesNotAskAFullInstanceAgain)
 {
     auto& entry = mesh.addVm("i-1", "front");
--- a/tests/platform/target_speech_test.cpp
+++ b/tests/platform/target_speech_test.cpp
@@ -59,6 +59,7 @@
 {
     CHECK(protocol.readAnswer(makeHead(503, { { "Not-Run", "1" } })).isRejected);
     CHECK_FALSE(protocol.readAnswer(makeHead(503, {})).isRejected);
+    CHECK_FALSE(protocol.readAnswer(makeHead(400, { { "Not-Run", "1" } })).isRejected);
     CHECK(protocol.readAnswer(makeHead(421, {})).isMisdirected);
     LONGS_EQUAL(8, protocol.readAnswer(makeHead(200, { { "Server-Load", "3,0,8" } })).slots);
     LONGS_EQUAL(0, protocol.readAnswer(makeHead(200, { { "Server-Load", "3,0,many" } })).slots);
