--- a/policy/attempt_history.cpp
+++ b/policy/attempt_history.cpp
@@ -5,7 +5,7 @@
 namespace fuchsiagauge {
 namespace {
 
-    constexpr std::size_t maxAttempts = 4; ///< For one request, refusals at the gates included.
+    constexpr std::size_t attemptLimit = 4; ///< For one request, refusals at the gates included.
 
 } // namespace
 
@@ -48,7 +48,7 @@
 
 bool attempt_history::mayGoOn(attempt_outcome outcome, failure_below below) const
 {
-    if (m_tried.size() >= maxAttempts)
+    if (m_tried.size() >= attemptLimit)
         return false;
     // The services below are overloaded, or the budget is used up: another instance would say the same.
     if (outcome == attempt_outcome::Shed || outcome == attempt_outcome::OverBudget)
