--- a/tests/policy/repeat_budget_test.cpp
+++ b/tests/policy/repeat_budget_test.cpp
@@ -81,6 +81,14 @@
     CHECK(takeAll(milliseconds(100), repeat_claim::OtherCall) == 0);
 }
 
+TEST(repeat_budget, inheritedRepeatsLeaveLessForAllOthers)
+{
+    while (budget.hasRoom(milliseconds(0), repeat_claim::Inherited))
+        budget.onRepeat(milliseconds(0));
+    for (const auto claim : { repeat_claim::Entry, repeat_claim::ImportantCall, repeat_claim::OtherCall })
+        CHECK_FALSE(budget.hasRoom(milliseconds(0), claim));
+}
+
 TEST(repeat_budget, theBusierWindowBeforeCounts)
 {
     for (int count = 0; count < 1000; ++count)
