platform: Replace a watch that has lost its answer while the store answers probes

What callers saw: requests were handled by an older configuration, and sent to instances that were leaving, for as long as one watch may take.

Cause: a watch's own time-out was the only sign that it no longer reports changes. Probes notice a silent store, but they use another connection: a watch whose answer alone is lost still kept its node blind for up to 6 s.

Change: the answers to probes show the store's revision. A watch that has not reported what the probe before has shown is sent again. Event watch-replaced and a counter tell when.

Shown: replacesAWatchThatDoesNotReportAChange failed before (no request within the test's 20 s) and passes now; keepsAWatchThatReportsAChangeAfterTheProbe.

--- a/core/event_log.h
+++ b/core/event_log.h
@@ -22,6 +22,7 @@
     RulesRefused,
     PlatformLost,
     PlatformRegained,
+    WatchReplaced, ///< A watch of the platform did not report a change and was sent again.
     ReadingChanged, ///< The node started or stopped reading the platform for its availability zone.
     EntryIgnored, ///< An entry of the instance list does not describe a usable instance.
     InstanceChanged, ///< An instance joined, started to drain or is gone.
--- a/mesh/mesh_counters.cpp
+++ b/mesh/mesh_counters.cpp
@@ -23,6 +23,8 @@
     , platformCalls(registry.getCounter("fuchsiagauge_mesh_platform_calls_total", "Calls to the platform."))
     , platformFailures(
           registry.getCounter("fuchsiagauge_mesh_platform_failures_total", "Failed calls to the platform."))
+    , missedChanges(registry.getCounter("fuchsiagauge_mesh_watches_replaced_total",
+          "Watches of the platform that were sent again because they had not reported a change."))
     , replicaPolls(registry.getCounter(
           "fuchsiagauge_mesh_item_polls_total", "Polls for published items sent to other nodes."))
     , isReader(registry.getGauge("fuchsiagauge_mesh_reader", "1 if this node reads the platform itself."))
--- a/mesh/mesh_counters.h
+++ b/mesh/mesh_counters.h
@@ -38,6 +38,7 @@
     metric_gauge& openCalls;
     metric_counter& platformCalls;
     metric_counter& platformFailures;
+    metric_counter& missedChanges; ///< Watches of the platform that did not report a change.
     metric_counter& replicaPolls; ///< Polls for published items sent to other nodes.
     metric_gauge& isReader;
     metric_gauge& isConnected;
--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -486,6 +486,14 @@
 
 replica_exchange& mesh_node::getReplicaExchange() { return m_state->exchange; }
 
+void mesh_node::reportMissedChange(std::uint64_t knownRevision, std::uint64_t platformRevision)
+{
+    m_state->counters.missedChanges.add();
+    m_state->log.write(event_kind::WatchReplaced, {},
+        { { "revision", static_cast<double>(knownRevision) },
+            { "platform_revision", static_cast<double>(platformRevision) } });
+}
+
 void mesh_node::countPlatformCall() { m_state->counters.platformCalls.add(); }
 
 void mesh_node::reloadSettings(const std::optional<mesh_settings>& config, const std::string& reason)
--- a/mesh/mesh_node.h
+++ b/mesh/mesh_node.h
@@ -7,6 +7,7 @@
 #include "policy/replica_exchange.h"
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -73,6 +74,9 @@
     /// @return the exchange through which the nodes of a zone share what they read from the platform.
     replica_exchange& getReplicaExchange();
 
+    /// Reports that a watch of the platform has been replaced because it had not reported a change.
+    void reportMissedChange(std::uint64_t knownRevision, std::uint64_t platformRevision);
+
     /// Counts a call to the platform.
     void countPlatformCall();
 
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <deque>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include <CppUTest/TestHarness.h>
@@ -44,6 +45,7 @@
         [this](const std::shared_ptr<incoming_call>& call) { serve(call); } };
     std::unique_ptr<store_client> client;
     int probeStatus = 404; ///< Status of the response to probes; 0: none.
+    std::string probeBody = "{}";
     int probeCount = 0;
     int relistCount = 0; ///< How often the client is told to list again.
     std::vector<std::shared_ptr<incoming_call>> unansweredProbes;
@@ -52,6 +54,7 @@
     std::vector<std::string> removedKeys;
     std::vector<std::string> unreachableReasons;
     int reachableCount = 0;
+    int missedChangeCount = 0; ///< Watches that were replaced because they did not report a change.
     milliseconds batchDelay { 1 };
     milliseconds probeInterval { 1e7 };
     milliseconds probeTimeout { 2 };
@@ -64,7 +67,7 @@
         if (probeStatus == 0)
             unansweredProbes.push_back(call);
         else
-            call->respond(head, "{}");
+            call->respond(head, probeBody);
     }
 
     void serve(const std::shared_ptr<incoming_call>& call)
@@ -120,7 +123,8 @@
                 [this](const item_changes& changes) { record(changes); },
                 [this] { return relistCount-- > 0; }, [] {},
                 [this](const std::string& reason) { unreachableReasons.push_back(reason); },
-                [this] { ++reachableCount; } });
+                [this] { ++reachableCount; },
+                [this](std::uint64_t, std::uint64_t) { ++missedChangeCount; } });
         client->start();
     }
 
@@ -254,6 +258,34 @@
     CHECK_EQUAL(1U, items.size());
 }
 
+// The answer to a watch is lost although the store answers everything else.
+TEST(store_client, replacesAWatchThatDoesNotReportAChange)
+{
+    probeBody = R"({"storeRevision":13})";
+    probeInterval = milliseconds(1);
+    start({ { 200, lastPage }, { 200, noEvents } });
+    runUntil([this] { return requestTargets.size() == 4; });
+    CHECK(requestTargets.at(2).find("after=12&waitMs=5000") != std::string::npos);
+    CHECK(requestTargets.at(3).find("after=12&waitMs=0") != std::string::npos);
+    LONGS_EQUAL(1, missedChangeCount);
+    CHECK(unreachableReasons.empty());
+}
+
+// The answers to a watch and to a probe may cross.
+TEST(store_client, keepsAWatchThatReportsAChangeAfterTheProbe)
+{
+    probeBody = R"({"storeRevision":13})";
+    probeInterval = milliseconds(1);
+    probeTimeout = milliseconds(400);
+    start({ { 200, lastPage }, { 200, noEvents } });
+    runUntil([this] { return probeCount == 1 && pendingWatch != nullptr; });
+    const auto watch = std::exchange(pendingWatch, nullptr);
+    watch->respond({}, R"({"events":[],"storeRevision":13})");
+    runUntil([this] { return probeCount >= 4; });
+    LONGS_EQUAL(0, missedChangeCount);
+    CHECK(requestTargets.back().find("after=13&waitMs=5000") != std::string::npos);
+}
+
 TEST(store_client, toleratesOneLostProbe)
 {
     probeStatus = 0;
