policy, mesh: Keep all nodes together to the rate limit that an instance states

What callers saw: instances in need got twice the rate that they had stated.

Cause: nothing read the limit. It did not occur in the sources, and no log or metric changed when it was stated.

Change: the gate beside the instance, through which every request passes, starts requests no faster than the stated rate, most important first, and refuses at once what can't start in time, so that it goes elsewhere. Sends after a refusal of the instance count too. Replies tell callers the limit, and the picker counts the wait for it. Callers send what they know of it with their requests, so that a restarted gate keeps to it before its instance has responded. The limit ends with a response that states none.

Why this works: the limit is on the sum over all nodes, and the sum is known in one place only. A share for each caller would need their number and leave the shares of idle callers unused.

Shown: allNodesTogetherKeepToTheRateThatAnInstanceStates (30 requests arrived before, 5 allowed), aRestartedNodeKeepsToTheRateThatOtherNodesKnow (20 before), doesNotSendARefusedRequestAgainBeyondTheRateLimit (6 sends before, 1 now) failed on; sendsAsBeforeOnceAnInstanceStatesNoRateLimit guards the end of the limit.

--- a/core/peer_envelope.cpp
+++ b/core/peer_envelope.cpp
@@ -160,4 +160,18 @@
     return rejectedPercent ? std::clamp(static_cast<double>(*rejectedPercent) / percent, 0.0, 1.0) : 0;
 }
 
+std::string formatRateLimit(double perSecond) { return std::to_string(perSecond); }
+
+std::optional<double> parseRateLimit(const std::string* value)
+{
+    if (!value)
+        return std::nullopt;
+    double perSecond = 0;
+    const auto* end = value->data() + value->size();
+    const auto [last, code] = std::from_chars(value->data(), end, perSecond);
+    if (code != std::errc() || last != end || !std::isfinite(perSecond) || perSecond < 0)
+        return fail(error_kind::BadPeerMessage, "not a rate limit: " + *value);
+    return perSecond;
+}
+
 } // namespace fuchsiagauge
--- a/core/peer_envelope.h
+++ b/core/peer_envelope.h
@@ -30,6 +30,9 @@
     /// Random rank below rankCount, assigned at the entry node and inherited by all downstream calls.
     int rank = 0;
     std::string instance; ///< Id of the instance that the request is addressed to.
+    /// Requests per second that the instance takes at most, as last reported to the sending node. Tells a
+    /// restarted node of the limit before its instance has responded. Sent apart from the other metadata.
+    std::optional<double> rateLimit;
     std::string callerService; ///< Service of the VM where the request originated.
     std::string requestId;
 };
@@ -82,6 +85,9 @@
     /// Share of recent requests that the instance rejected although it had free slots; absent if there are
     /// none. Apart from the reply, so that nodes that don't know it can still read the reply.
     constexpr const char* rejectedShare = "fg-rejected";
+    /// Requests per second that the instance takes at most from all nodes together, as far as the sending
+    /// node knows; absent if there is no limit. In calls and in replies.
+    constexpr const char* rateLimit = "fg-limit";
 }
 
 /// @return the call metadata as a header value.
@@ -100,6 +106,13 @@
 /// @return the share of rejected requests; 0 if it is missing or invalid.
 double parseRejectedShare(const std::string* value);
 
+/// @return a rate limit, in requests per second, as a header value.
+std::string formatRateLimit(double perSecond);
+
+/// @param value the header value; null if the field is missing.
+/// @return the rate limit in requests per second; nothing if it is missing or invalid.
+std::optional<double> parseRateLimit(const std::string* value);
+
 /// @return the reply metadata parsed from a header value, or nothing with error_kind::BadPeerMessage.
 std::optional<peer_reply> parsePeerReply(const std::string& value);
 
--- a/mesh/inbound_call.cpp
+++ b/mesh/inbound_call.cpp
@@ -40,6 +40,7 @@
                     { "waiting", static_cast<double>(reply.waiting) },
                     { "slots", static_cast<double>(reply.slots) },
                     { "service_ms", reply.serviceTime.getCount() },
+                    { "limit_per_s", result.load.rateLimit.value_or(0) },
                     { "start_within_ms", call.startWithin.getCount() },
                     { "priority", static_cast<double>(call.priority) } });
             result.head = {};
@@ -50,6 +51,8 @@
         if (result.load.rejectedShare >= minReportedShare)
             result.head.fields.add(
                 peer_header::rejectedShare, formatRejectedShare(result.load.rejectedShare));
+        if (result.load.rateLimit)
+            result.head.fields.add(peer_header::rateLimit, formatRateLimit(*result.load.rateLimit));
         incoming.respond(result.head, result.body);
     }
 
@@ -59,14 +62,16 @@
 {
     auto& request = incoming->getRequest();
     const auto* value = request.fields.find(peer_header::call);
-    const auto call = value ? parsePeerCall(*value) : std::nullopt;
+    auto call = value ? parsePeerCall(*value) : std::nullopt;
     if (!call) {
         response_head head;
         head.status = badRequestStatus;
         incoming->respond(head, "a call envelope is missing or not valid\n");
         return;
     }
+    call->rateLimit = parseRateLimit(request.fields.find(peer_header::rateLimit));
     request.fields.erase(peer_header::call);
+    request.fields.erase(peer_header::rateLimit);
     const auto runId
         = context.target.run(request, *call, [&context, incoming, call = *call](attempt_result result) {
               respondToPeer(context, *incoming, call, std::move(result));
--- a/mesh/local_target.cpp
+++ b/mesh/local_target.cpp
@@ -59,6 +59,8 @@
     active.expiresAt = now + call.timeLeft;
     active.onEnd = std::move(onEnd);
     m_activeRequests.emplace(id, std::move(active));
+    if (!m_hasResponded && call.rateLimit)
+        m_gate.setRateLimit(call.rateLimit, now);
     if (call.depth == 0
         && !m_entryAdmission.isAdmitted(call.priority, static_cast<double>(call.rank) / rankCount)) {
         refuse(id, attempt_outcome::Shed);
@@ -150,7 +152,12 @@
 
 void local_target::setDraining(bool isDraining) { m_gate.setClosed(isDraining); }
 
-void local_target::closeIdleConnections() { m_pool.closeIdle(); }
+void local_target::onInstanceReplaced()
+{
+    m_pool.closeIdle();
+    m_hasResponded = false;
+    m_gate.setRateLimit(std::nullopt, m_time.now());
+}
 
 void local_target::start(std::uint64_t id)
 {
@@ -203,10 +210,13 @@
 
 void local_target::finish(std::uint64_t id, outgoing_result outgoing)
 {
+    if (m_activeRequests.count(id) == 0)
+        return;
+    // May start or refuse other requests, so the request is looked up afterwards.
+    recordArrival(outgoing);
     const auto found = m_activeRequests.find(id);
     if (found == m_activeRequests.end())
         return;
-    recordArrival(outgoing);
     if (mayRetryLocally(found->second, outgoing)) {
         auto& active = found->second;
         m_retryBudget.onRetry(m_time.now(), getRetryPriority(active.call));
@@ -230,18 +240,30 @@
     active.onEnd(std::move(result));
 }
 
-/// Tells the gate whether the instance rejects requests although it has free slots.
+/// Tells the gate whether the instance rejects requests although it has free slots, and which rate it allows.
 void local_target::recordArrival(const outgoing_result& outgoing)
 {
     if (!outgoing.isAnswered)
         return;
     const auto info = m_protocol.parseResponse(outgoing.head);
-    if (!info.isMisdirected && !info.isFull)
+    if (info.isMisdirected)
+        return;
+    if (!info.isFull)
         m_gate.recordArrival(info.isRejected);
+    updateRateLimit(info);
+}
+
+void local_target::updateRateLimit(const target_response_info& info)
+{
+    m_hasResponded = true;
+    // A rejection without a limit does not show that the limit has ended.
+    if (info.rateLimit || !info.isRejected)
+        m_gate.setRateLimit(info.rateLimit, m_time.now());
 }
 
 /// Decides whether a request that the instance refused is sent to it again. An instance that refuses although
-/// it has free slots may accept the same request a moment later, and a local retry uses no network link.
+/// it has free slots may accept the same request a moment later, and a local retry uses no network link. If
+/// so, the send is counted against the rate limit.
 bool local_target::mayRetryLocally(const active_request& active, const outgoing_result& outgoing)
 {
     if (!outgoing.isAnswered || active.sendCount >= maxSends || m_gate.isClosed())
@@ -251,7 +273,7 @@
         return false;
     const auto now = m_time.now();
     return active.expiresAt - now >= minRetryTime
-        && m_retryBudget.isRetryAllowed(now, getRetryPriority(active.call));
+        && m_retryBudget.isRetryAllowed(now, getRetryPriority(active.call)) && m_gate.tryCountResend(now);
 }
 
 void local_target::updateEntryAdmission(const peer_call& call, const attempt_result& result)
--- a/mesh/local_target.h
+++ b/mesh/local_target.h
@@ -89,8 +89,8 @@
     /// Sets whether the instance is draining; while it is, new and waiting requests are refused.
     void setDraining(bool isDraining);
 
-    /// Closes idle connections. Used after the instance has been replaced.
-    void closeIdleConnections();
+    /// Closes idle connections and forgets the rate limit. Used after the instance has been replaced.
+    void onInstanceReplaced();
 
     /// @return the slots of the instance and the requests waiting for them.
     slot_report getLoad() const { return m_gate.getReport(); }
@@ -113,6 +113,7 @@
     void start(std::uint64_t id);
     void sendToInstance(std::uint64_t id, active_request& active);
     void recordArrival(const outgoing_result& outgoing);
+    void updateRateLimit(const target_response_info& info);
     bool mayRetryLocally(const active_request& active, const outgoing_result& outgoing);
     void refuse(std::uint64_t id, attempt_outcome outcome);
     active_request extract(std::unordered_map<std::uint64_t, active_request>::iterator position);
@@ -131,6 +132,7 @@
     /// Keys in `m_activeRequests` of the requests running on the instance, by request id.
     std::unordered_map<std::string, std::uint64_t> m_runningIds;
     std::uint64_t m_lastId = 0;
+    bool m_hasResponded = false; ///< Whether this start of the instance has responded to a request.
 };
 
 } // namespace fuchsiagauge
--- a/mesh/mesh_counters.cpp
+++ b/mesh/mesh_counters.cpp
@@ -19,6 +19,8 @@
     , slotsBusy(registry.getGauge("fuchsiagauge_mesh_slots_busy", "Slots of the local instance in use."))
     , slotsWaiting(registry.getGauge(
           "fuchsiagauge_mesh_slots_waiting", "Requests waiting for a slot of the local instance."))
+    , rateLimit(registry.getGauge("fuchsiagauge_mesh_rate_limit",
+          "Requests per second that the local instance takes at most; 0 if it states no limit."))
     , openCalls(registry.getGauge("fuchsiagauge_mesh_open_calls", "Requests that have no response yet."))
     , platformCalls(registry.getCounter("fuchsiagauge_mesh_platform_calls_total", "Calls to the platform."))
     , platformFailures(
--- a/mesh/mesh_counters.h
+++ b/mesh/mesh_counters.h
@@ -35,6 +35,7 @@
     metric_gauge& instances;
     metric_gauge& slotsBusy;
     metric_gauge& slotsWaiting;
+    metric_gauge& rateLimit; ///< Stated by the local instance, in requests per second; 0 if there is none.
     metric_gauge& openCalls;
     metric_counter& platformCalls;
     metric_counter& platformFailures;
--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -61,6 +61,7 @@
     void scheduleTick();
     void runHousekeeping(milliseconds now);
     void detectPause(milliseconds now);
+    void reportRateLimit();
     void handleClientCall(const std::shared_ptr<incoming_call>& call);
     void handlePeerCall(const std::shared_ptr<incoming_call>& call);
     void handleAdminCall(const std::shared_ptr<incoming_call>& call);
@@ -104,6 +105,7 @@
     milliseconds stoppingSince;
     std::function<void()> onStopped;
     std::string localInstanceKey;
+    std::optional<double> reportedRateLimit; ///< Last logged rate limit of the local instance.
     bool hasListing = false;
     bool isStopping = false;
     bool isShuttingDown = false; ///< Everything under way has ended; the connections are being closed.
@@ -183,6 +185,7 @@
         std::remove_if(openCalls.begin(), openCalls.end(), [](const auto& call) { return call->isEnded(); }),
         openCalls.end());
     target.tick();
+    reportRateLimit();
     peerPools.tick();
     exchange.tick();
     log.flush();
@@ -212,6 +215,18 @@
         log.write(event_kind::PauseDetected, {}, { { "ms", gap.getCount() } });
 }
 
+/// Logs when the local instance states another rate limit, or none any more.
+void mesh_node::state::reportRateLimit()
+{
+    const auto limit = target.getLoad().rateLimit;
+    if (limit == reportedRateLimit)
+        return;
+    log.write(event_kind::LimitChanged, {},
+        { { "instance", localInstanceKey }, { "limit_per_s", limit.value_or(0) },
+            { "before", reportedRateLimit.value_or(0) }, { "limited", std::string(limit ? "yes" : "no") } });
+    reportedRateLimit = limit;
+}
+
 /// @return whether the node is stopping and the notice period for clients and peers has ended.
 bool mesh_node::state::isRefusingCalls() const
 {
@@ -335,6 +350,7 @@
     const auto load = target.getLoad();
     counters.slotsBusy.set(load.busy);
     counters.slotsWaiting.set(load.waiting);
+    counters.rateLimit.set(load.rateLimit.value_or(0));
     counters.openCalls.set(static_cast<double>(openCalls.size()));
     counters.isReader.set(exchange.isReader() ? 1 : 0);
     counters.isConnected.set(exchange.isConnected() ? 1 : 0);
@@ -370,7 +386,7 @@
     if (startKey == localInstanceKey)
         return;
     if (!localInstanceKey.empty())
-        target.closeIdleConnections();
+        target.onInstanceReplaced();
     localInstanceKey = startKey;
 }
 
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -185,6 +185,7 @@
     call.timeLeft = m_expiresAt - now;
     call.isIdempotent = m_route->isIdempotent;
     call.instance = m_instance;
+    call.rateLimit = m_context.picker.getRateLimit(m_instance);
     call.callerService = m_context.config.service;
     call.requestId = m_clientInfo.requestId;
     recordSpillover(chosen);
@@ -230,6 +231,8 @@
     outgoing_request outgoing;
     outgoing.request = m_incoming->getRequest();
     outgoing.request.fields.add(peer_header::call, formatPeerCall(call));
+    if (call.rateLimit)
+        outgoing.request.fields.add(peer_header::rateLimit, formatRateLimit(*call.rateLimit));
     outgoing.expiresAt = m_expiresAt;
     const address peer { chosen.record.target.host, m_context.config.peersListener.port };
     m_peerRequest = m_context.peerPools.get(peer).send(
@@ -258,11 +261,13 @@
     }
     result.outcome = reply->outcome;
     result.load = { reply->busy, reply->waiting, reply->slots, reply->serviceTime,
-        parseRejectedShare(outgoing.head.fields.find(peer_header::rejectedShare)) };
+        parseRejectedShare(outgoing.head.fields.find(peer_header::rejectedShare)),
+        parseRateLimit(outgoing.head.fields.find(peer_header::rateLimit)) };
     result.hasLoad = true;
     result.downstreamFailure = reply->downstreamFailure;
     outgoing.head.fields.erase(peer_header::reply);
     outgoing.head.fields.erase(peer_header::rejectedShare);
+    outgoing.head.fields.erase(peer_header::rateLimit);
     result.head = std::move(outgoing.head);
     if (result.outcome == attempt_outcome::Answered || result.outcome == attempt_outcome::Rejected)
         result.body = std::move(outgoing.body);
--- a/mesh/target_protocol.h
+++ b/mesh/target_protocol.h
@@ -31,6 +31,8 @@
     bool isMisdirected = false; ///< The target is not the expected instance; it did not run the request.
     int slots = 0; ///< Number of requests that the target runs at the same time; 0 if not stated.
     bool isFull = false; ///< The target reports that all its slots are in use.
+    /// Requests per second that the target takes at most from all callers together, if it states a limit.
+    std::optional<double> rateLimit;
 };
 
 /// Reads and writes the metadata in the messages of a deployment's clients and targets. The platform adapter
--- a/policy/instance_picker.cpp
+++ b/policy/instance_picker.cpp
@@ -147,6 +147,12 @@
     stats.sentSinceReport = 0;
 }
 
+std::optional<double> instance_picker::getRateLimit(const std::string& id) const
+{
+    const auto found = m_stats.find(id);
+    return found == m_stats.end() ? std::nullopt : found->second.report.rateLimit;
+}
+
 void instance_picker::pruneUnlisted(const instance_directory& directory)
 {
     for (auto item = m_stats.begin(); item != m_stats.end();) {
@@ -232,13 +238,21 @@
 double instance_picker::estimateQueueWait(milliseconds now, const instance_stats& stats)
 {
     const auto& report = stats.report;
+    const double untilStart = estimateRateWait(now, stats);
     if (report.serviceTime.getCount() <= 0)
-        return 0;
+        return untilStart;
     // The instance has completed requests since the report.
     const double completed = report.slots * ((now - stats.reportedAt) / report.serviceTime);
     const double reported = report.busy + report.waiting + stats.sentSinceReport - std::max(0.0, completed);
     const double ahead = std::max<double>(reported, stats.ownInFlight) + 1 - report.slots;
-    return ahead <= 0 ? 0 : report.serviceTime.getCount() * ahead / report.slots;
+    return std::max(untilStart, report.serviceTime.getCount() * std::max(0.0, ahead) / report.slots);
+}
+
+/// @return the expected wait for the rate limit of the instance, in milliseconds.
+double instance_picker::estimateRateWait(milliseconds now, const instance_stats& stats)
+{
+    const auto queued = stats.report.getStartTime(stats.report.waiting + stats.sentSinceReport);
+    return std::max(0.0, (queued - (now - stats.reportedAt)).getCount());
 }
 
 double instance_picker::getFailureRate(const instance_stats& stats, milliseconds now)
--- a/policy/instance_picker.h
+++ b/policy/instance_picker.h
@@ -83,6 +83,9 @@
     /// Records the load that the instance's node reported.
     void onReport(const std::string& id, milliseconds now, const slot_report& report);
 
+    /// @return the rate limit of the instance, in requests per second, as last reported by its node.
+    std::optional<double> getRateLimit(const std::string& id) const;
+
     /// Records how long a successful request took that did not wait for a slot.
     void onRunTime(const std::string& id, const std::string& route, milliseconds duration);
 
@@ -134,6 +137,7 @@
     double getDistanceCost(const pick_request& request, const std::string& zone) const;
     static bool isUnresponsive(const instance_stats& stats, milliseconds unansweredTime);
     static double estimateQueueWait(milliseconds now, const instance_stats& stats);
+    static double estimateRateWait(milliseconds now, const instance_stats& stats);
     static double getFailureRate(const instance_stats& stats, milliseconds now);
     static double getRejectedShare(const instance_stats& stats, milliseconds now);
     bool isEligible(milliseconds now, const pick_request& request, const instance_directory::entry& candidate,
--- a/policy/slot_gate.h
+++ b/policy/slot_gate.h
@@ -2,6 +2,7 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "policy/token_bucket.h"
 
 #include <cstdint>
 #include <functional>
@@ -30,9 +31,13 @@
     milliseconds serviceTime; ///< Moving average of the time that a request holds a slot.
     /// Moving average of the share of requests that the target rejected although slots were free.
     double rejectedShare = 0;
+    std::optional<double> rateLimit; ///< Requests per second that the target takes at most, if it states it.
 
     /// @return the expected waiting time of a new request.
     milliseconds estimateWait() const;
+
+    /// @return how long `count` requests take to start at the target's rate limit; 0 without a limit.
+    milliseconds getStartTime(double count) const;
 };
 
 /// Assigns the slots of one target to requests, in order of priority.
@@ -40,6 +45,9 @@
 /// A request that is not expected to start in time is refused immediately. A waiting request is refused as
 /// soon as requests ahead of it delay its expected start too long.
 ///
+/// While the target states a rate limit, requests start no faster than that, free slots or not. All requests
+/// to the target pass its gate, so the limit holds for all nodes together.
+///
 /// Within a priority and depth the lowest rank starts first. A request and all calls made for it have the
 /// same rank at every gate. Under overload some requests therefore complete all of their calls, and the
 /// others fail at the first one. In order of arrival every request would wait at each of its calls, and most
@@ -73,6 +81,13 @@
     /// Sets the number of the target's slots, at least 1.
     void setSlots(int slots, milliseconds now);
 
+    /// Sets the number of requests per second that may reach the target, or lifts the limit.
+    void setRateLimit(std::optional<double> perSecond, milliseconds now);
+
+    /// Counts another send of a request that holds a slot against the rate limit.
+    /// @return whether the limit allows it.
+    bool tryCountResend(milliseconds now) { return tryCountSend(now); }
+
     /// Closes or opens the gate. A closed gate refuses new and waiting requests with TargetLeaving.
     void setClosed(bool isClosed);
 
@@ -93,8 +108,9 @@
 
     using queue = std::map<queue_key, waiting_request>;
 
-    /// Starts queued requests while slots are free.
-    void startQueuedRequests();
+    bool tryCountSend(milliseconds now);
+    /// Starts queued requests while slots are free and the rate limit allows it.
+    void startQueuedRequests(milliseconds now);
     /// Refuses queued requests that are expected to start after their `startBy` time.
     void refuseUnservable(milliseconds now);
     /// @return the mean time between two starts while all slots are in use.
@@ -107,6 +123,8 @@
     int m_busy = 0;
     double m_serviceMs = 0;
     double m_rejectedShare = 0;
+    std::optional<double> m_rateLimit; ///< As stated by the target, in requests per second.
+    token_bucket m_sendTokens { 0, 0, 0 }; ///< One for each send that the rate limit allows now.
     bool m_isClosed = false;
 };
 
--- a/tests/mesh/mesh_node_test.cpp
+++ b/tests/mesh/mesh_node_test.cpp
@@ -60,6 +60,28 @@
         return count - offset;
     }
 
+    /// Sends requests of several clients through a node.
+    /// @return the indexes of the clients.
+    std::vector<std::size_t> sendMany(const test_mesh::vm& entry, int count)
+    {
+        std::vector<std::size_t> clients;
+        clients.reserve(static_cast<std::size_t>(count));
+        for (int index = 0; index < count; ++index)
+            clients.push_back(mesh.send(entry, entry.id + '-' + std::to_string(index)));
+        return clients;
+    }
+
+    /// Checks that the requests which an instance has received since a time fit its rate limit.
+    static void expectWithinRateLimit(
+        std::size_t receivedCount, double perSecond, std::chrono::steady_clock::time_point since)
+    {
+        constexpr double tolerance = 1.5;
+        constexpr double extra = 5;
+        const std::chrono::duration<double> elapsed = std::chrono::steady_clock::now() - since;
+        CHECK_COMPARE(
+            static_cast<double>(receivedCount), <=, perSecond * elapsed.count() * tolerance + extra);
+    }
+
     /// @return rules with a route to `front` and one to `orders`, which `front` calls.
     static traffic_rules makeRulesWithDownstreamCall()
     {
@@ -534,3 +556,76 @@
     test_mesh::makeRespondingHandler(200)(runner.held[0]);
     LONGS_EQUAL(200, mesh.await(running).head.status);
 }
+
+TEST(mesh_node, allNodesTogetherKeepToTheRateThatAnInstanceStates)
+{
+    std::vector<test_mesh::vm*> entries;
+    for (const char* id : { "i-1", "i-2", "i-3" })
+        entries.push_back(&mesh.addVm(id, "front"));
+    auto& limited = mesh.addVm("i-4", "orders");
+    limited.slots = 100;
+    limited.handler = test_mesh::makeRespondingHandler(200, { { "Server-Limit", "1" } });
+    mesh.publishInstances();
+    mesh.publishRules(test_mesh::makeRules("orders", true));
+    for (const auto* entry : entries)
+        mesh.await(mesh.send(*entry, "first-" + entry->id));
+    limited.received.clear();
+    const auto since = std::chrono::steady_clock::now();
+    std::vector<std::size_t> clients;
+    for (const auto* entry : entries) {
+        for (const auto client : sendMany(*entry, 10))
+            clients.push_back(client);
+    }
+    for (const auto client : clients)
+        mesh.await(client);
+    expectWithinRateLimit(limited.received.size(), 1, since);
+}
+
+// A restarted node has no response of its instance yet, but the other nodes have.
+TEST(mesh_node, aRestartedNodeKeepsToTheRateThatOtherNodesKnow)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& limited = mesh.addVm("i-2", "orders");
+    limited.slots = 100;
+    limited.handler = test_mesh::makeRespondingHandler(200, { { "Server-Limit", "1" } });
+    mesh.publishInstances();
+    mesh.publishRules(test_mesh::makeRules("orders", true));
+    mesh.await(mesh.send(entry, "first"));
+    mesh.restartNode(limited);
+    mesh.publishInstances();
+    mesh.publishRules(test_mesh::makeRules("orders", true));
+    limited.handler = test_mesh::makeHoldingHandler(limited);
+    const auto since = std::chrono::steady_clock::now();
+    const auto clients = sendMany(entry, 20);
+    mesh.runUntil([&] {
+        const auto ended = std::count_if(clients.begin(), clients.end(),
+            [&](std::size_t client) { return mesh.getResult(client).has_value(); });
+        return static_cast<std::size_t>(ended) + limited.held.size() == clients.size();
+    });
+    expectWithinRateLimit(limited.held.size(), 1, since);
+}
+
+TEST(mesh_node, doesNotSendARefusedRequestAgainBeyondTheRateLimit)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& limited = mesh.addVm("i-2", "orders");
+    limited.handler = test_mesh::makeRespondingHandler(503, { { "Not-Run", "1" }, { "Server-Limit", "0" } });
+    mesh.publishInstances();
+    mesh.publishRules(test_mesh::makeRules("orders", true));
+    LONGS_EQUAL(503, mesh.await(mesh.send(entry, "id-1")).head.status);
+    CHECK_EQUAL(1U, limited.received.size());
+}
+
+TEST(mesh_node, sendsAsBeforeOnceAnInstanceStatesNoRateLimit)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& limited = mesh.addVm("i-2", "orders");
+    limited.handler = test_mesh::makeRespondingHandler(200, { { "Server-Limit", "10" } });
+    mesh.publishInstances();
+    mesh.publishRules(test_mesh::makeRules("orders", true));
+    mesh.await(mesh.send(entry, "limited"));
+    limited.handler = test_mesh::makeRespondingHandler(200);
+    mesh.await(mesh.send(entry, "unlimited"));
+    for (const auto client : sendMany(entry, 20))
+        LONGS_EQUAL(200, mesh.await(client).head.status);
+}
--- a/tests/mesh/test_mesh.cpp
+++ b/tests/mesh/test_mesh.cpp
@@ -69,11 +69,18 @@
             added.handler(call);
         });
     CHECK(added.instance->open({ added.host, targetPort }).has_value());
-    added.node = std::make_unique<mesh_node>(m_io, makeSettings(added), makePlatformProtocol());
-    CHECK(added.node->start());
+    restartNode(added);
     return added;
 }
 
+void test_mesh::restartNode(vm& entry)
+{
+    entry.node.reset();
+    m_io.poll(); // Runs what the sockets of the old node have left, so that the addresses are free.
+    entry.node = std::make_unique<mesh_node>(m_io, makeSettings(entry), makePlatformProtocol());
+    CHECK(entry.node->start());
+}
+
 void test_mesh::publishInstances()
 {
     std::vector<instance_record> listed;
@@ -83,7 +90,7 @@
         record.service = member->service;
         record.target = { member->host, targetPort };
         record.zone = member->zone;
-        record.slots = 2;
+        record.slots = member->slots;
         listed.push_back(record);
     }
     for (const auto& member : m_vms)
--- a/tests/mesh/test_mesh.h
+++ b/tests/mesh/test_mesh.h
@@ -25,6 +25,7 @@
         std::string host;
         std::string service;
         std::string zone;
+        int slots = 2; ///< As listed by publishInstances().
         std::unique_ptr<fuchsiagauge::http_server> instance;
         std::unique_ptr<fuchsiagauge::mesh_node> node;
         /// Handles requests at the instance; by default responds with status 200 and the request's path.
@@ -40,6 +41,9 @@
     /// Starts a VM. Its instance is not listed until publishInstances() is called.
     vm& addVm(const std::string& id, const std::string& service, const std::string& zone = "a");
 
+    /// Replaces the node of a VM by one that knows nothing.
+    void restartNode(vm& entry);
+
     /// Sends the list of all instances to every node.
     void publishInstances();
 
--- a/tests/platform/platform_protocol_test.cpp
+++ b/tests/platform/platform_protocol_test.cpp
@@ -80,3 +80,14 @@
     CHECK_FALSE(protocol.isMatchingResponse(makeHead(200, {}), "a"));
     CHECK(protocol.isMatchingResponse(makeHead(503, {}), "a"));
 }
+
+TEST(platform_protocol, parsesTheRateLimit)
+{
+    DOUBLES_EQUAL(
+        39.1, *protocol.parseResponse(makeHead(200, { { "server-limit", "39.1" } })).rateLimit, 1e-9);
+    DOUBLES_EQUAL(0, *protocol.parseResponse(makeHead(200, { { "Server-Limit", "0" } })).rateLimit, 1e-9);
+    CHECK_FALSE(protocol.parseResponse(makeHead(200, {})).rateLimit.has_value());
+    for (const char* text : { "", "few", "-1", "1e999", "5 " })
+        CHECK_FALSE(
+            protocol.parseResponse(makeHead(200, { { "Server-Limit", text } })).rateLimit.has_value());
+}
--- a/tests/policy/instance_picker_test.cpp
+++ b/tests/policy/instance_picker_test.cpp
@@ -246,3 +246,18 @@
     }
     STRCMP_EQUAL("fast-near", choose().c_str());
 }
+
+TEST(instance_picker, leavesTheZoneOnceTheRateLimitThereCostsMore)
+{
+    list("own", "a");
+    list("near", "b");
+    slot_report limited { 1, 2, 10, milliseconds(20) };
+    limited.rateLimit = 20;
+    picker.onReport("own", now, limited);
+    STRCMP_EQUAL("own", choose().c_str());
+    for (int count = 0; count < 10; ++count)
+        picker.onSend("own", now);
+    STRCMP_EQUAL("near", choose().c_str());
+    now = now + milliseconds(500);
+    STRCMP_EQUAL("own", choose().c_str());
+}
--- a/tests/policy/slot_gate_test.cpp
+++ b/tests/policy/slot_gate_test.cpp
@@ -276,3 +276,99 @@
         gate.recordArrival(false);
     DOUBLES_EQUAL(0, gate.getReport().rejectedShare, 0.01);
 }
+
+namespace {
+
+constexpr double statedRate = 40;
+
+/// Offers a gate five times the rate that its target states, with free slots for all.
+/// @return the number of starts in each of the seconds.
+std::vector<int> countStartsAboveTheRate(int seconds)
+{
+    slot_gate gate;
+    milliseconds now { 1000 };
+    gate.setSlots(1000, now);
+    gate.setRateLimit(statedRate, now);
+    std::vector<int> starts;
+    std::uint64_t lastId = 0;
+    for (int second = 0; second < seconds; ++second) {
+        int count = 0;
+        for (int step = 0; step < 200; ++step) {
+            now = now + milliseconds(5);
+            gate.submit(now, { ++lastId, 0, 0, 0, now + milliseconds(300) },
+                [&](std::optional<error_kind> refusal) { count += refusal ? 0 : 1; });
+            gate.tick(now);
+        }
+        starts.push_back(count);
+    }
+    return starts;
+}
+
+} // namespace
+
+TEST(slot_gate, startsNoMoreThanTheRateThatTheTargetStates)
+{
+    for (const int count : countStartsAboveTheRate(8))
+        DOUBLES_EQUAL(statedRate, count, 1);
+}
+
+TEST(slot_gate, refusesAtOnceWhatTheRateLimitCannotStartInTime)
+{
+    gate.setSlots(100, now);
+    gate.setRateLimit(10, now);
+    for (std::uint64_t id = 1; id <= 6; ++id)
+        submit(id, 0, milliseconds(350));
+    CHECK(recorded.started.empty());
+    CHECK_EQUAL(3U, recorded.refused.size());
+    DOUBLES_EQUAL(300, gate.getReport().estimateWait().getCount(), 0.001);
+    for (int step = 0; step < 20; ++step) {
+        now = now + milliseconds(20);
+        gate.tick(now);
+    }
+    CHECK((std::vector<std::uint64_t> { 1, 2, 3 }) == recorded.started);
+}
+
+TEST(slot_gate, startsTheMostImportantFirstWithinTheRateLimit)
+{
+    gate.setSlots(100, now);
+    gate.setRateLimit(10, now);
+    submit(1, 2);
+    submit(2, 0);
+    gate.tick(now + milliseconds(100));
+    CHECK((std::vector<std::uint64_t> { 2 }) == recorded.started);
+}
+
+TEST(slot_gate, startsWaitingRequestsWhenTheRateLimitEnds)
+{
+    gate.setSlots(10, now);
+    gate.setRateLimit(1, now);
+    submit(1, 0);
+    submit(2, 0);
+    CHECK(recorded.started.empty());
+    gate.setRateLimit(std::nullopt, now);
+    CHECK_EQUAL(2U, recorded.started.size());
+}
+
+// Only the responses of a target that takes nothing show when its limit ends.
+TEST(slot_gate, stillTriesATargetThatStatesARateOfZero)
+{
+    constexpr milliseconds window { 4000 };
+    gate.setSlots(10, now);
+    gate.setRateLimit(0, now);
+    for (std::uint64_t id = 1; id <= 20; ++id)
+        submit(id, 0);
+    for (int step = 0; step < 200; ++step)
+        gate.tick(now + window * (step / 200.0));
+    CHECK(!recorded.started.empty());
+    CHECK(recorded.started.size() <= 5);
+}
+
+TEST(slot_gate, countsResendsAgainstTheRateLimit)
+{
+    gate.setSlots(10, now);
+    gate.setRateLimit(10, now);
+    now = now + milliseconds(100);
+    CHECK(gate.tryCountResend(now));
+    submit(1, 0);
+    CHECK(recorded.started.empty());
+}
