policy, mesh: Send nothing more to an instance that announces its stop

What callers see: an instance that says in its responses that it leaves kept getting requests until the store listed it as draining or removed it, which a node cut off from the store learns late or never.

Cause: nothing read the announcement; leaving was known from the store's entries only.

Change: the node beside the instance tells callers of the announcement with each reply, refusals included. A node that has seen it chooses the instance no more, for this start of it: a listing as ready, and an entry that lapsed and came back, change nothing.

Shown: sendsNothingMoreToAnInstanceThatAnnouncesItsStop (11 requests arrived on, 1 now), aRejectionAnnouncesTheStopOfAnInstanceToo (2, now 1), anAnnouncedStopHoldsForOneStartOfTheInstance.

--- a/core/peer_envelope.h
+++ b/core/peer_envelope.h
@@ -88,6 +88,8 @@
     /// Requests per second that the instance takes at most from all nodes together, as far as the sending
     /// node knows; absent if there is no limit. In calls and in replies.
     constexpr const char* rateLimit = "fg-limit";
+    /// Present in replies if the instance has announced that it is about to stop.
+    constexpr const char* leaving = "fg-leaving";
 }
 
 /// @return the call metadata as a header value.
--- a/mesh/inbound_call.cpp
+++ b/mesh/inbound_call.cpp
@@ -53,6 +53,8 @@
                 peer_header::rejectedShare, formatRejectedShare(result.load.rejectedShare));
         if (result.load.rateLimit)
             result.head.fields.add(peer_header::rateLimit, formatRateLimit(*result.load.rateLimit));
+        if (result.isInstanceLeaving)
+            result.head.fields.add(peer_header::leaving, "1");
         incoming.respond(result.head, result.body);
     }
 
--- a/mesh/local_target.cpp
+++ b/mesh/local_target.cpp
@@ -156,6 +156,7 @@
 {
     m_pool.closeIdle();
     m_hasResponded = false;
+    m_isInstanceLeaving = false;
     m_gate.setRateLimit(std::nullopt, m_time.now());
 }
 
@@ -203,8 +204,7 @@
     const auto onEnd = extract(found).onEnd;
     attempt_result result;
     result.outcome = outcome;
-    result.load = m_gate.getReport();
-    result.hasLoad = true;
+    describeInstance(result);
     onEnd(std::move(result));
 }
 
@@ -234,12 +234,19 @@
     const bool isServiceTimeSample
         = result.outcome == attempt_outcome::Answered || result.outcome == attempt_outcome::TimedOut;
     m_gate.finish(now, isServiceTimeSample ? std::optional(heldFor) : std::nullopt);
-    result.load = m_gate.getReport();
-    result.hasLoad = true;
+    describeInstance(result);
     updateEntryAdmission(active.call, result);
     active.onEnd(std::move(result));
 }
 
+/// Adds what is known of the instance to the result of an attempt.
+void local_target::describeInstance(attempt_result& result) const
+{
+    result.load = m_gate.getReport();
+    result.hasLoad = true;
+    result.isInstanceLeaving = m_isInstanceLeaving;
+}
+
 /// Tells the gate whether the instance rejects requests although it has free slots, and which rate it allows.
 void local_target::recordArrival(const outgoing_result& outgoing)
 {
@@ -250,12 +257,14 @@
         return;
     if (!info.isFull)
         m_gate.recordArrival(info.isRejected);
-    updateRateLimit(info);
+    recordStatements(info);
 }
 
-void local_target::updateRateLimit(const target_response_info& info)
+/// Records what the instance states about itself in a response.
+void local_target::recordStatements(const target_response_info& info)
 {
     m_hasResponded = true;
+    m_isInstanceLeaving = m_isInstanceLeaving || info.isLeaving;
     // A rejection without a limit does not show that the limit has ended.
     if (info.rateLimit || !info.isRejected)
         m_gate.setRateLimit(info.rateLimit, m_time.now());
--- a/mesh/local_target.h
+++ b/mesh/local_target.h
@@ -25,6 +25,7 @@
     std::string detail; ///< Why there is no response.
     slot_report load; ///< The instance's load when the attempt ended; valid if `hasLoad`.
     bool hasLoad = false;
+    bool isInstanceLeaving = false; ///< The instance has announced that it is about to stop.
     /// How a downstream call that the instance made for the request failed.
     downstream_failure downstreamFailure = downstream_failure::None;
 };
@@ -89,7 +90,7 @@
     /// Sets whether the instance is draining; while it is, new and waiting requests are refused.
     void setDraining(bool isDraining);
 
-    /// Closes idle connections and forgets the rate limit. Used after the instance has been replaced.
+    /// Closes idle connections and forgets what the instance has stated. Used after it has been replaced.
     void onInstanceReplaced();
 
     /// @return the slots of the instance and the requests waiting for them.
@@ -112,8 +113,9 @@
     bool isWithinRetryBudget(const peer_call& call, milliseconds now);
     void start(std::uint64_t id);
     void sendToInstance(std::uint64_t id, active_request& active);
+    void describeInstance(attempt_result& result) const;
     void recordArrival(const outgoing_result& outgoing);
-    void updateRateLimit(const target_response_info& info);
+    void recordStatements(const target_response_info& info);
     bool mayRetryLocally(const active_request& active, const outgoing_result& outgoing);
     void refuse(std::uint64_t id, attempt_outcome outcome);
     active_request extract(std::unordered_map<std::uint64_t, active_request>::iterator position);
@@ -133,6 +135,7 @@
     std::unordered_map<std::string, std::uint64_t> m_runningIds;
     std::uint64_t m_lastId = 0;
     bool m_hasResponded = false; ///< Whether this start of the instance has responded to a request.
+    bool m_isInstanceLeaving = false; ///< Whether this start of the instance has announced that it stops.
 };
 
 } // namespace fuchsiagauge
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -148,7 +148,7 @@
 const instance_directory::entry* outbound_call::chooseInstance(milliseconds now)
 {
     const auto* requiredInstance = m_context.directory.find(m_history.getRequiredInstance());
-    if (requiredInstance && !requiredInstance->record.isDraining)
+    if (requiredInstance && !requiredInstance->isLeaving())
         return requiredInstance;
     return m_context.picker.choose(now, makePickRequest(now), m_context.directory);
 }
@@ -172,6 +172,7 @@
 {
     const auto now = m_context.time.now();
     m_instance = chosen.record.id;
+    m_instanceStartedAtMs = chosen.record.startedAtMs;
     m_history.onSend(m_instance);
     m_hasOpenAttempt = true;
     m_sentAt = now;
@@ -264,10 +265,12 @@
         parseRejectedShare(outgoing.head.fields.find(peer_header::rejectedShare)),
         parseRateLimit(outgoing.head.fields.find(peer_header::rateLimit)) };
     result.hasLoad = true;
+    result.isInstanceLeaving = outgoing.head.fields.find(peer_header::leaving) != nullptr;
     result.downstreamFailure = reply->downstreamFailure;
     outgoing.head.fields.erase(peer_header::reply);
     outgoing.head.fields.erase(peer_header::rejectedShare);
     outgoing.head.fields.erase(peer_header::rateLimit);
+    outgoing.head.fields.erase(peer_header::leaving);
     result.head = std::move(outgoing.head);
     if (result.outcome == attempt_outcome::Answered || result.outcome == attempt_outcome::Rejected)
         result.body = std::move(outgoing.body);
@@ -311,6 +314,8 @@
     const auto now = m_context.time.now();
     if (result.hasLoad)
         m_context.picker.onReport(m_instance, now, result.load);
+    if (result.isInstanceLeaving)
+        m_context.directory.markLeaving(m_instance, m_instanceStartedAtMs, now);
     const auto signal = getHealthSignal(result);
     m_context.picker.onEnd(m_instance, now, signal);
     const bool hasFreeSlots
--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -76,6 +76,7 @@
     milliseconds m_expiresAt;
     attempt_history m_history { 1, false };
     std::string m_instance; ///< Instance of the current or last attempt.
+    std::uint64_t m_instanceStartedAtMs = 0; ///< Tells the starts of `m_instance` apart.
     milliseconds m_sentAt; ///< When the current or last attempt was sent.
     pooled_http_client::handle m_peerRequest; ///< The request to the peer node, to cancel it.
     std::uint64_t m_localRunId = 0; ///< Id for local_target::cancel(); 0 if no attempt runs there.
--- a/mesh/target_protocol.h
+++ b/mesh/target_protocol.h
@@ -30,6 +30,7 @@
     bool isRejected = false; ///< The target did not run the request; a retry there or elsewhere may succeed.
     bool isMisdirected = false; ///< The target is not the expected instance; it did not run the request.
     int slots = 0; ///< Number of requests that the target runs at the same time; 0 if not stated.
+    bool isLeaving = false; ///< The target announces that it is about to stop.
     bool isFull = false; ///< The target reports that all its slots are in use.
     /// Requests per second that the target takes at most from all callers together, if it states a limit.
     std::optional<double> rateLimit;
--- a/policy/instance_directory.cpp
+++ b/policy/instance_directory.cpp
@@ -9,6 +9,8 @@
 
     /// Running instances register again within about two seconds after the platform is reachable again.
     constexpr milliseconds relistGracePeriod { 2500 };
+    /// An instance that has announced its stop and is not listed for this time has ended.
+    constexpr milliseconds leavingMemory { 60000 };
 
 } // namespace
 
@@ -40,6 +42,7 @@
     const bool isDrainStart = record.isDraining && (isNew || !stored.record.isDraining);
     stored.record = record;
     stored.missingSince.reset();
+    stored.hasAnnouncedLeaving = hasAnnouncedLeaving(record);
     if (isNew) {
         stored.firstSeenAt = now;
         stored.coldUntil = now + record.coldTimeLeft;
@@ -66,6 +69,33 @@
         found->second.missingSince = now;
 }
 
+void instance_directory::markLeaving(const std::string& id, std::uint64_t startedAtMs, milliseconds now)
+{
+    m_leavingStarts[id] = { startedAtMs, now };
+    const auto found = m_entries.find(id);
+    if (found == m_entries.end() || found->second.record.startedAtMs != startedAtMs
+        || std::exchange(found->second.hasAnnouncedLeaving, true))
+        return;
+    if (m_onChange)
+        m_onChange(found->second, "leaving");
+}
+
+bool instance_directory::hasAnnouncedLeaving(const instance_record& record) const
+{
+    const auto found = m_leavingStarts.find(record.id);
+    return found != m_leavingStarts.end() && found->second.startedAtMs == record.startedAtMs;
+}
+
+void instance_directory::forgetStoppedInstances(milliseconds now)
+{
+    for (auto item = m_leavingStarts.begin(); item != m_leavingStarts.end();) {
+        if (m_entries.count(item->first) > 0)
+            item->second.lastListedAt = now;
+        item
+            = now - item->second.lastListedAt > leavingMemory ? m_leavingStarts.erase(item) : std::next(item);
+    }
+}
+
 void instance_directory::onPlatformDisconnected() { m_isPlatformDisconnected = true; }
 
 void instance_directory::onPlatformReconnected(milliseconds now)
@@ -77,6 +107,7 @@
 
 void instance_directory::tick(milliseconds now)
 {
+    forgetStoppedInstances(now);
     if (isKeepingMissingEntries(now))
         return;
     for (auto item = m_entries.begin(); item != m_entries.end();) {
--- a/policy/instance_directory.h
+++ b/policy/instance_directory.h
@@ -24,9 +24,13 @@
         milliseconds coldUntil; ///< End of the cold start: it is expected to run at full speed from then on.
         /// Set while an entry is kept that went missing during an outage of the platform or just after it.
         std::optional<milliseconds> missingSince;
+        bool hasAnnouncedLeaving = false; ///< See markLeaving().
+
+        /// @return whether the instance must not get new requests.
+        bool isLeaving() const { return record.isDraining || hasAnnouncedLeaving; }
     };
 
-    /// Receives the entry and one of "joined", "draining", "gone" and "not listed again".
+    /// Receives the entry and one of "joined", "draining", "leaving", "gone" and "not listed again".
     using change_hook = std::function<void(const entry&, const char* event)>;
 
     /// @param onChange called when an instance joins, starts draining or is removed; may be empty.
@@ -42,6 +46,11 @@
     /// of the platform, and for a grace period after it, the entry is only marked as missing.
     void remove(const std::string& id, milliseconds now);
 
+    /// Records that an instance has itself announced that it is about to stop. Holds for this start of the
+    /// instance, also if the platform still lists it as ready or lists it again.
+    /// @param startedAtMs the start that has announced it, as in instance_record.
+    void markLeaving(const std::string& id, std::uint64_t startedAtMs, milliseconds now);
+
     /// Records that the platform can't be reached.
     void onPlatformDisconnected();
 
@@ -69,9 +78,17 @@
     void drop(std::map<std::string, entry>::iterator position, const char* reason);
     void rebuildIndex() const;
     bool isKeepingMissingEntries(milliseconds now) const;
+    bool hasAnnouncedLeaving(const instance_record& record) const;
+    void forgetStoppedInstances(milliseconds now);
+
+    struct leaving_start {
+        std::uint64_t startedAtMs = 0;
+        milliseconds lastListedAt;
+    };
 
     change_hook m_onChange;
     std::map<std::string, entry> m_entries;
+    std::map<std::string, leaving_start> m_leavingStarts; ///< Announced by the instances, by id.
     /// Rebuilt on demand, so that a large listing builds it only once.
     mutable std::map<std::string, std::vector<const entry*>> m_byService;
     mutable bool m_isIndexOutdated = false;
--- a/policy/instance_picker.cpp
+++ b/policy/instance_picker.cpp
@@ -275,7 +275,7 @@
     const auto& excluded = request.excluded;
     if (std::find(excluded.begin(), excluded.end(), candidate.record.id) != excluded.end())
         return false;
-    if (candidate.record.isDraining)
+    if (candidate.isLeaving())
         return false;
     const auto found = m_stats.find(candidate.record.id);
     if (mayUseAvoided || found == m_stats.end())
--- a/tests/mesh/mesh_node_test.cpp
+++ b/tests/mesh/mesh_node_test.cpp
@@ -629,3 +629,34 @@
     for (const auto client : sendMany(entry, 20))
         LONGS_EQUAL(200, mesh.await(client).head.status);
 }
+
+TEST(mesh_node, sendsNothingMoreToAnInstanceThatAnnouncesItsStop)
+{
+    auto& entry = mesh.addVm("i-1", "front", "a");
+    auto& leaving = mesh.addVm("i-2", "orders", "a");
+    auto& staying = mesh.addVm("i-3", "orders", "b");
+    leaving.handler = test_mesh::makeRespondingHandler(200, { { "Server-Leaving", "1" } });
+    mesh.publishInstances();
+    mesh.publishRules(test_mesh::makeRules("orders", false));
+    mesh.await(mesh.send(entry, "first"));
+    CHECK_EQUAL(1U, leaving.received.size());
+    mesh.publishInstances(); // The platform still lists it as ready.
+    for (const auto client : sendMany(entry, 10))
+        LONGS_EQUAL(200, mesh.await(client).head.status);
+    CHECK_EQUAL(1U, leaving.received.size());
+    CHECK_EQUAL(10U, staying.received.size());
+}
+
+TEST(mesh_node, aRejectionAnnouncesTheStopOfAnInstanceToo)
+{
+    auto& entry = mesh.addVm("i-1", "front", "a");
+    auto& leaving = mesh.addVm("i-2", "orders", "a");
+    mesh.addVm("i-3", "orders", "b");
+    leaving.handler = test_mesh::makeRespondingHandler(
+        503, { { "Not-Run", "1" }, { "Server-Load", "2,1,2" }, { "Server-Leaving", "1" } });
+    mesh.publishInstances();
+    mesh.publishRules(test_mesh::makeRules("orders", false));
+    for (const char* id : { "id-1", "id-2", "id-3" })
+        LONGS_EQUAL(200, mesh.await(mesh.send(entry, id)).head.status);
+    CHECK_EQUAL(1U, leaving.received.size());
+}
--- a/tests/platform/platform_protocol_test.cpp
+++ b/tests/platform/platform_protocol_test.cpp
@@ -91,3 +91,10 @@
         CHECK_FALSE(
             protocol.parseResponse(makeHead(200, { { "Server-Limit", text } })).rateLimit.has_value());
 }
+
+TEST(platform_protocol, parsesTheAnnouncementOfAStop)
+{
+    CHECK(protocol.parseResponse(makeHead(500, { { "server-leaving", "1" } })).isLeaving);
+    CHECK_FALSE(protocol.parseResponse(makeHead(200, { { "Server-Leaving", "0" } })).isLeaving);
+    CHECK_FALSE(protocol.parseResponse(makeHead(200, {})).isLeaving);
+}
--- a/tests/policy/instance_directory_test.cpp
+++ b/tests/policy/instance_directory_test.cpp
@@ -84,3 +84,20 @@
     directory.remove("younger", now);
     CHECK_EQUAL(1U, directory.findService("orders").size());
 }
+
+TEST(instance_directory, anAnnouncedStopHoldsForOneStartOfTheInstance)
+{
+    auto record = make("one");
+    record.startedAtMs = 5;
+    directory.put(record, now);
+    directory.markLeaving("one", 4, now);
+    CHECK_FALSE(directory.find("one")->isLeaving());
+    directory.markLeaving("one", 5, now);
+    CHECK(directory.find("one")->isLeaving());
+    directory.remove("one", now);
+    directory.put(record, now + milliseconds(30000));
+    CHECK(directory.find("one")->isLeaving());
+    record.startedAtMs = 9;
+    directory.put(record, now + milliseconds(40000));
+    CHECK_FALSE(directory.find("one")->isLeaving());
+}
