policy, mesh: Drop entries that are missing after an outage before the bounds hold again

What callers could see: requests sent to instances that had left just before the store fell silent, after the time in which the platform says that everything is in force again (3 s on small sites).

Cause: an entry that went missing in an outage was kept for 2.5 s after the node was connected again, and looked at only every 0.5 s.

Shown: dropsAMissingEntryWithinTheContactTimeOfTheStoreReturn failed before (its reconnection takes 0.85 s) and passes now.

--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -19,7 +19,7 @@
 namespace {
 
     constexpr milliseconds tickInterval { 20 }; ///< Maximum delay of timeouts and refusals.
-    /// Interval of the checks for idle connections and missing instances.
+    /// Interval of the checks for idle connections and of the search for other nodes.
     constexpr milliseconds housekeepingInterval { 500 };
     /// A longer gap between ticks is logged as a pause of the process.
     constexpr milliseconds maxTickGap { 1000 };
@@ -184,6 +184,7 @@
     openCalls.erase(
         std::remove_if(openCalls.begin(), openCalls.end(), [](const auto& call) { return call->isEnded(); }),
         openCalls.end());
+    directory.tick(now);
     target.tick();
     reportRateLimit();
     peerPools.tick();
@@ -202,7 +203,6 @@
     peersServer.tick();
     readinessServer.tick();
     metricsServer.tick();
-    directory.tick(now);
     updateNeighbours();
     picker.pruneUnlisted(directory);
     target.setInstanceCount(static_cast<int>(directory.findService(config.service).size()));
--- a/policy/instance_directory.cpp
+++ b/policy/instance_directory.cpp
@@ -7,8 +7,10 @@
 namespace fuchsiagauge {
 namespace {
 
-    /// Running instances register again within about two seconds after the platform is reachable again.
-    constexpr milliseconds relistGracePeriod { 2500 };
+    /// Running instances register again within about two seconds after the platform is reachable again. With
+    /// the time that a node takes to reconnect, the period ends before instances that have left count as
+    /// gone.
+    constexpr milliseconds relistGracePeriod { 2100 };
     /// An instance that has announced its stop and is not listed for this time has ended.
     constexpr milliseconds leavingMemory { 60000 };
 
@@ -67,6 +69,7 @@
     }
     if (!found->second.missingSince)
         found->second.missingSince = now;
+    m_hasMissingEntries = true;
 }
 
 void instance_directory::markLeaving(const std::string& id, std::uint64_t startedAtMs, milliseconds now)
@@ -108,8 +111,9 @@
 void instance_directory::tick(milliseconds now)
 {
     forgetStoppedInstances(now);
-    if (isKeepingMissingEntries(now))
+    if (!m_hasMissingEntries || isKeepingMissingEntries(now))
         return;
+    m_hasMissingEntries = false;
     for (auto item = m_entries.begin(); item != m_entries.end();) {
         const auto current = item++;
         if (current->second.missingSince)
--- a/policy/instance_directory.h
+++ b/policy/instance_directory.h
@@ -92,6 +92,7 @@
     /// Rebuilt on demand, so that a large listing builds it only once.
     mutable std::map<std::string, std::vector<const entry*>> m_byService;
     mutable bool m_isIndexOutdated = false;
+    bool m_hasMissingEntries = false; ///< Set if an entry may have `missingSince`.
     bool m_isPlatformDisconnected = false;
     milliseconds m_reconnectedAt { -1e9 };
 };
--- a/tests/policy/instance_directory_test.cpp
+++ b/tests/policy/instance_directory_test.cpp
@@ -51,6 +51,23 @@
     CHECK(directory.find("two") == nullptr);
 }
 
+// Once the bounds hold again after an outage, an instance that is not listed again must not be in use.
+TEST(instance_directory, dropsAMissingEntryWithinTheContactTimeOfTheStoreReturn)
+{
+    constexpr milliseconds contactTime { 3000 };
+    constexpr milliseconds slowestReconnection { 850 };
+    constexpr milliseconds tickInterval { 20 };
+    directory.applyListing({ make("one") }, now);
+    directory.onPlatformDisconnected();
+    const auto end = now + contactTime;
+    now = now + slowestReconnection;
+    directory.onPlatformReconnected(now);
+    directory.remove("one", now);
+    for (; now <= end; now = now + tickInterval)
+        directory.tick(now);
+    CHECK(directory.find("one") == nullptr);
+}
+
 TEST(instance_directory, dropsNothingWhileThePlatformIsUnreachable)
 {
     directory.applyListing({ make("one") }, now);
