--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -58,6 +58,9 @@
     milliseconds batchDelay { 1 };
     milliseconds probeInterval { 1e7 };
     milliseconds probeTimeout { 2 };
+    milliseconds firstRetryDelay { 1 };
+    milliseconds maxRetryDelay { 2 };
+    milliseconds clockOffset; ///< Added to the client's clock.
 
     void serveProbe(const std::shared_ptr<incoming_call>& call)
     {
@@ -109,8 +112,8 @@
         store_client::options options;
         options.store = *store.open({ "127.0.0.1", 0 });
         options.prefix = "";
-        options.firstRetryDelay = milliseconds(1);
-        options.maxRetryDelay = milliseconds(2);
+        options.firstRetryDelay = firstRetryDelay;
+        options.maxRetryDelay = maxRetryDelay;
         options.batchDelay = batchDelay;
         options.shortBatchDelay = milliseconds(1);
         options.relistDelay = milliseconds(1);
@@ -118,7 +121,9 @@
         options.probeTimeout = probeTimeout;
         // Watches that the script leaves without a response stay open.
         options.responseMargin = milliseconds(1e7);
-        client = std::make_unique<store_client>(io, fuchsiagauge::clock::makeBoot(), options,
+        const fuchsiagauge::clock time(
+            [this, boot = fuchsiagauge::clock::makeBoot()] { return boot.now() + clockOffset; });
+        client = std::make_unique<store_client>(io, time, options,
             store_client::hooks { [] { return 0.5; },
                 [this](const item_changes& changes) { record(changes); },
                 [this] { return relistCount-- > 0; }, [] {},
@@ -286,6 +291,22 @@
     CHECK(requestTargets.back().find("after=13&waitMs=5000") != std::string::npos);
 }
 
+// The time in which a check waits for a silent store must not add to the delay before the next one.
+TEST(store_client, checksASilentStoreAgainAtOnceAfterALongCheck)
+{
+    constexpr milliseconds delay { 1e6 };
+    probeStatus = 0;
+    probeInterval = milliseconds(1);
+    probeTimeout = milliseconds(10);
+    maxRetryDelay = delay;
+    firstRetryDelay = delay;
+    start({ { 200, lastPage }, { 200, noEvents } });
+    runUntil([this] { return probeCount == 2; });
+    clockOffset = delay;
+    runUntil([this] { return probeCount == 3; });
+    CHECK_EQUAL(1U, unreachableReasons.size());
+}
+
 TEST(store_client, toleratesOneLostProbe)
 {
     probeStatus = 0;
