review: Show that an order runs twice after a repeated refusal (TWICE)

An instance refuses an order and gives the refusal once more, late. The node has sent the order again on the same connection with the same id, takes the extra answer for that send's, and sends it a third time.

The stand-in instance no longer takes bytes of a next request for the end of its connection.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,85 +1,90 @@
-"""Machines in touch go on sending requests to an instance that leaves. See claim.txt."""
+"""An order runs twice if an instance refuses it and repeats the refusal. See claim.txt."""
 
 import asyncio
+import collections
 import os
+import random
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib"))
 import fleet as lib  # pylint: disable=wrong-import-position
 
-HOST = "catalogue.example"
+HOST = "orders.example"
 DEADLINE_MS = 5000
-DRAIN_S = 2.0
-MACHINES = 4
-REQUESTS_PER_S = 60  # Of the clients of one machine.
+ORDERS_PER_S = 80
+PLAY_S = 60
+REFUSED_SHARE = 0.2  # Of the requests of an instance, with slots free.
+EXTRA_SHARE = 0.03  # Of the answers of a faulty instance: the answer is given once more.
+MACHINES, FAULTY_MACHINES = 5, 3
 
 
-async def send(record, node, sent):
+class FaultyInstance(lib.Instance):
+    """Refuses a part of its requests, and gives a part of its answers a second time, late: at the point where the
+    next answer on the connection is expected."""
+
+    refused_share = 0
+    extra_share = 0
+
+    async def serve_request(self, line, fields, body, reader, writer):
+        extra = getattr(writer, "extra_answer", None)
+        if extra:
+            writer.extra_answer = None
+            writer.write(extra[1])
+            self.record.write(f"instance {self.id} gives its refusal of {extra[0]} once more, late")
+        request_id = fields["request-id"]
+        if fields.get("expect-instance") == self.id and random.random() < self.refused_share:
+            refusal = lib.format_message("HTTP/1.1 503 Service Unavailable",
+                                         dict(self.make_fields(request_id), **{"Not-Run": "1"}))
+            self.record.write(f"instance {self.id} refuses {request_id}: 503, Not-Run")
+            writer.write(refusal)
+            if random.random() < self.extra_share:
+                writer.extra_answer = (request_id, refusal)
+            return True
+        return await super().serve_request(line, fields, body, reader, writer)
+
+
+async def place_order(record, node, answers):
     request_id = lib.new_id()
-    sent[request_id] = (record.now(), node.name)
+    record.write(f"client sends order {request_id} to {node.name}")
     try:
         reader, writer = await asyncio.open_connection(node.ip, lib.OUTBOUND_PORT)
-        writer.write(lib.format_request("GET", HOST, "/c/30/500", request_id, DEADLINE_MS))
+        writer.write(lib.format_request("POST", HOST, "/o/60/400", request_id, DEADLINE_MS, b"o" * 300))
         head = await asyncio.wait_for(lib.read_head(reader), DEADLINE_MS / 1000)
-        body = await lib.read_body(reader, head[1])
-        record.write(f"request {request_id} sent to {node.name} at {sent[request_id][0]:.3f} s: {head[0]},"
-                     f" {'whole' if body == lib.make_body(request_id, 500) else 'other'} body")
+        answers[request_id] = head[0] if head else "the connection was closed"
         writer.close()
-    except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, TypeError) as failure:
-        record.write(f"request {request_id} sent to {node.name}: {type(failure).__name__}")
+    except (OSError, asyncio.TimeoutError) as failure:
+        answers[request_id] = type(failure).__name__
+    record.write(f"order {request_id}: {answers[request_id]}")
 
 
 async def play(record, with_trouble, fleets):
     fleet = lib.Fleet(FOLDER, record)
     fleets.append(fleet)
-    paths = []
     for number in range(MACHINES):
-        _, node = fleet.add("catalogue", slots=64, queue=32)
-        node.store_ip = f"{fleet.network}.{100 + number}"
-        paths.append(lib.Cut(record, node.name, fleet.store_ip))
-        await paths[-1].start(node.store_ip)
-    routes = {"r-c": lib.make_route(HOST, "/c/", "catalogue", timeout_s=5, target_s=1.2)}
-    await fleet.start(lib.make_config(1, routes, ["catalogue"]))
-    sent = {}
+        instance, _ = fleet.add("orders", slots=90, queue=72, kind=FaultyInstance)
+        if with_trouble:
+            instance.refused_share = REFUSED_SHARE
+            instance.extra_share = EXTRA_SHARE if number < FAULTY_MACHINES else 0
+    routes = {"r-o": lib.make_route(HOST, "/o/", "orders", "non_idempotent", timeout_s=5, priority=0)}
+    await fleet.start(lib.make_config(1, routes, ["orders"]))
+    answers = {}
     tasks = []
-
-    async def keep_sending(node):
-        while True:
-            tasks.append(asyncio.ensure_future(send(record, node, sent)))
-            await asyncio.sleep(1 / REQUESTS_PER_S)
-
-    senders = [asyncio.ensure_future(keep_sending(node)) for node in fleet.nodes]
-    # The nodes that watch the store are those that read it for the zone.
-    before = [path.watches for path in paths]
-    await asyncio.sleep(8)
-    readers = [number for number in range(MACHINES) if paths[number].watches > before[number]]
-    if len(readers) != 2:
-        raise lib.CannotRun(f"{len(readers)} machines of the zone read the store")
-    others = [number for number in range(MACHINES) if number not in readers]
-    leaving = fleet.instances[others[0]]
-    in_touch = {fleet.nodes[number].name for number in others}
-
-    routes["r-idle"] = lib.make_route(HOST, "/idle/", "catalogue")
-    await fleet.store.put("op/config", lib.make_config(5, routes, ["catalogue"]))
-    await asyncio.sleep(0.015)
-    if with_trouble:
-        for number in readers:
-            paths[number].cut()
-    await asyncio.sleep(0.015)
-    await fleet.store.put(f"servers/{leaving.id}", leaving.get_entry("draining"))
-    left_at = record.now()
-    await asyncio.sleep(4)
-    for sender in senders:
-        sender.cancel()
+    for number in range(ORDERS_PER_S * PLAY_S):
+        tasks.append(asyncio.ensure_future(place_order(record, fleet.nodes[number % MACHINES], answers)))
+        await asyncio.sleep(1 / ORDERS_PER_S)
     await asyncio.gather(*tasks)
-    late = [run for run in leaving.runs
-            if run["from"] > left_at + DRAIN_S and sent[run["id"]][1] in in_touch]
-    for run in late[:10]:
-        record.write(f"late by {run['from'] - left_at - DRAIN_S:.3f} s: {run['id']} sent to {sent[run['id']][1]}")
-    record.say(f"{len(late)} requests from machines in touch reached {leaving.id} later than {DRAIN_S} s after the store"
-               " had acknowledged that it is draining")
-    return bool(late)
+    runs = collections.Counter(run["id"] for instance in fleet.instances for run in instance.runs)
+    doubled = [request_id for request_id, count in runs.items() if count > 1]
+    promised = [request_id for request_id in runs
+                if any(f" {status} " in answers[request_id] + " " for status in (408, 421, 429, 503))]
+    for request_id in doubled:
+        record.write(f"TWICE: order {request_id} ran {runs[request_id]} times; its client got {answers[request_id]}")
+    for request_id in promised:
+        record.write(f"REFUSED: order {request_id} ran; its client got {answers[request_id]}")
+    record.say(f"{len(doubled)} of {len(answers)} orders ran more than once; {len(promised)} ran and were answered"
+               " as not run")
+    return bool(doubled or promised)
 
 
 lib.run_case(FOLDER, play)
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -268,23 +268,22 @@
                           f" deadline {fields.get('request-deadline')} ms)")
         parts = line.split(" ")[1].split("/")
         work_s, size = int(parts[-2]) / 1000, int(parts[-1])
-        gone = asyncio.ensure_future(reader.read(1))  # Nodes send one request at a time, so this is the end.
+        end = run["from"] + work_s
+        is_gone = False
         try:
-            await asyncio.wait([gone], timeout=work_s)
+            while not is_gone and self.record.now() < end:
+                await asyncio.sleep(min(0.01, max(0.0, end - self.record.now())))
+                # Bytes that have arrived meanwhile belong to the next request.
+                is_gone = reader.at_eof() or reader.exception() is not None
             run["until"] = self.record.now()
-            run["end"] = "dropped, its connection was closed" if gone.done() else "done"
+            run["end"] = "dropped, its connection was closed" if is_gone else "done"
             self.record.write(f"instance {self.id}: run of {request_id} ends: {run['end']}")
         finally:
             async with self.free:
                 self.running -= 1
                 self.free.notify_all()
-        if gone.done():
+        if is_gone:
             return False
-        gone.cancel()
-        try:
-            await gone
-        except (asyncio.CancelledError, ConnectionError):
-            pass
         fields = dict(self.make_fields(request_id), **{"Server-Stamp": f"{self.id}.{request_id}"})
         writer.write(format_message("HTTP/1.1 200 OK", fields, make_body(request_id, size)))
         await writer.drain()
