transport, mesh: Send a request again on another connection only

Cause: the gate sends a refused request to its instance again, with the same id. The pool had just put the connection back as the most recently used one, so the second send took the connection that the first refusal had come on. A faulty instance gives that refusal once more when the next request arrives, and the id, which is all that tells responses apart, is the id of both sends. A request that comes back to its instance through another node's retry takes the same path.

Change: a connection remembers the requests that it has carried until they expire, and the pool never sends a request on a connection that has carried its id. If only such a connection is idle, it is closed for the new one, so the number of connections doesn't grow.

Why it works: a copy of a response can only arrive on the connection of that response, and a request is sent once on each.

--- a/mesh/local_target.cpp
+++ b/mesh/local_target.cpp
@@ -184,6 +184,7 @@
     outgoing_request outgoing;
     outgoing.request = std::move(active.request);
     outgoing.expiresAt = active.expiresAt;
+    outgoing.id = active.call.requestId;
     const auto timeLeft = std::max(milliseconds(1), active.expiresAt - now);
     m_protocol.addTargetFields(
         { active.call.instance, timeLeft, active.call.callerService }, outgoing.request.fields);
--- a/tests/mesh/test_mesh.cpp
+++ b/tests/mesh/test_mesh.cpp
@@ -73,6 +73,14 @@
     return added;
 }
 
+void test_mesh::replaceInstance(vm& entry, raw_instance::request_hook onRequest)
+{
+    entry.instance.reset();
+    m_io.poll(); // Runs what the sockets of the old instance have left, so that the address is free.
+    entry.rawInstance
+        = std::make_unique<raw_instance>(m_io, address { entry.host, targetPort }, std::move(onRequest));
+}
+
 void test_mesh::restartNode(vm& entry)
 {
     entry.node.reset();
--- a/tests/mesh/test_mesh.h
+++ b/tests/mesh/test_mesh.h
@@ -2,6 +2,7 @@
 
 #include "core/traffic_rules.h"
 #include "mesh/mesh_node.h"
+#include "tests/mesh/raw_instance.h"
 #include "transport/http_server.h"
 #include "transport/pooled_http_client.h"
 
@@ -27,6 +28,7 @@
         std::string zone;
         int slots = 2; ///< As listed by publishInstances().
         std::unique_ptr<fuchsiagauge::http_server> instance;
+        std::unique_ptr<raw_instance> rawInstance; ///< Replaces `instance` after replaceInstance().
         std::unique_ptr<fuchsiagauge::mesh_node> node;
         /// Handles requests at the instance; by default responds with status 200 and the request's path.
         std::function<void(const std::shared_ptr<fuchsiagauge::incoming_call>&)> handler;
@@ -41,6 +43,9 @@
     /// Starts a VM. Its instance is not listed until publishInstances() is called.
     vm& addVm(const std::string& id, const std::string& service, const std::string& zone = "a");
 
+    /// Replaces the simulated instance of a VM by one whose responses the test writes itself.
+    void replaceInstance(vm& entry, raw_instance::request_hook onRequest);
+
     /// Replaces the node of a VM by one that knows nothing.
     void restartNode(vm& entry);
 
--- a/tests/transport/pooled_http_client_test.cpp
+++ b/tests/transport/pooled_http_client_test.cpp
@@ -91,6 +91,7 @@
         outgoing.request.target = "/" + id;
         outgoing.request.body = body;
         outgoing.expiresAt = fuchsiagauge::clock::makeBoot().now() + milliseconds(10000);
+        outgoing.id = id;
         outgoing.isMatchingResponse = [id](const response_head& head) { return head.fields.get("id") == id; };
         return client->send(
             std::move(outgoing), [this](outgoing_result ended) { result = std::move(ended); });
@@ -342,6 +343,26 @@
     runUntil([&] { return connections.back().isClosed; });
 }
 
+// The target repeats its first response to a request that is sent again: the copy has the id of both.
+TEST(pooled_http_client, sendsARequestAgainOnAnotherConnection)
+{
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nid: a\r\nContent-Length: 4\r\n\r\nbusy";
+    send("a");
+    respond(refusal);
+    expectResponse("busy");
+    send("b");
+    respond("HTTP/1.1 200 OK\r\nid: b\r\nContent-Length: 5\r\n\r\nother");
+    expectResponse("other");
+    CHECK_EQUAL(1U, connections.size());
+    send("a");
+    runUntil([&] { return connections.size() == 2; });
+    boost::system::error_code code;
+    asio::write(connections.front().socket, asio::buffer(refusal), code);
+    respond("HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 5\r\n\r\nright");
+    expectResponse("right");
+    runUntil([&] { return connections.front().isClosed; });
+}
+
 // The connection ends before the last chunk: what arrived looks whole but for the end mark.
 TEST(pooled_http_client, reportsAChunkedResponseWithoutItsEndAsBroken)
 {
--- a/transport/pooled_http_client.cpp
+++ b/transport/pooled_http_client.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <deque>
 #include <unordered_set>
 #include <utility>
 #include <vector>
@@ -47,10 +48,12 @@
     {
         return now - m_idleSince > std::min(duration, m_idleLimit);
     }
+    bool hasCarried(const std::string& requestId) const;
     bool isRunningCall(std::uint64_t callNumber) const { return m_isBusy && m_callNumber == callNumber; }
     std::uint64_t getCallNumber() const { return m_callNumber; }
 
 private:
+    void rememberRequest();
     void connect();
     void onConnected(const boost::system::error_code& code);
     void sendRequest();
@@ -66,12 +69,19 @@
     bool isWithinLimits();
     void releaseMemory();
 
+    /// A request that may be sent again until it expires.
+    struct carried_request {
+        std::size_t idHash;
+        milliseconds expiresAt;
+    };
+
     tcp::socket m_socket;
     std::shared_ptr<pooled_http_client::state> m_owner;
     outgoing_request m_request;
     result_hook m_onResult;
     std::unique_ptr<response_parser> m_parser;
     std::array<char, readBufferBytes> m_readBuffer;
+    std::deque<carried_request> m_carriedRequests;
     std::string m_unsent; ///< Bytes of the request that have not been sent yet.
     std::string m_unparsed; ///< Incomplete response head or chunk header received so far.
     std::size_t m_accountedBytes = 0; ///< Bytes of the body that `receive_memory` knows of.
@@ -99,17 +109,34 @@
         endpoint = tcp::endpoint(asio::ip::make_address(remote.host, code), remote.port);
     }
 
-    std::shared_ptr<connection> takeIdle(milliseconds maxIdleTime)
+    /// @return the most recently used idle connection that may carry the request; null if there is none.
+    std::shared_ptr<connection> takeIdle(const outgoing_request& request)
     {
         const auto now = time.now();
-        if (idle.empty())
-            return nullptr;
-        auto last = idle.back();
-        // The other connections have been idle for even longer.
-        if (last->isIdleLongerThan(std::min(maxIdleTime, limits.idleTimeout), now))
-            return nullptr;
-        idle.pop_back();
-        return last;
+        const auto maxIdleTime = std::min(request.maxIdleTime, limits.idleTimeout);
+        for (auto position = idle.rbegin(); position != idle.rend(); ++position) {
+            auto candidate = *position;
+            // The connections before it have been idle for even longer.
+            if (candidate->isIdleLongerThan(maxIdleTime, now))
+                return nullptr;
+            if (candidate->hasCarried(request.id))
+                continue;
+            idle.erase(std::next(position).base());
+            return candidate;
+        }
+        return nullptr;
+    }
+
+    /// Closes an idle connection that must not carry the request, so that the new connection which the request
+    /// needs does not add to their number.
+    void replaceCarrier(const std::string& requestId)
+    {
+        const auto carrier = std::find_if(
+            idle.begin(), idle.end(), [&](const auto& entry) { return entry->hasCarried(requestId); });
+        if (carrier == idle.end())
+            return;
+        const auto replaced = *carrier;
+        replaced->close();
     }
 
     asio::io_context& io;
@@ -149,6 +176,7 @@
     m_skippedMessages = 0;
     m_unparsed.clear();
     m_startedAt = m_owner->time.now();
+    rememberRequest();
     ++m_owner->openCallCount;
     resetParser();
     if (m_isConnected)
@@ -157,6 +185,24 @@
         connect();
 }
 
+void pooled_http_client::connection::rememberRequest()
+{
+    while (!m_carriedRequests.empty() && m_carriedRequests.front().expiresAt < m_startedAt)
+        m_carriedRequests.pop_front();
+    if (!m_request.id.empty())
+        m_carriedRequests.push_back({ std::hash<std::string> {}(m_request.id), m_request.expiresAt });
+}
+
+/// @return whether a request with this id may have been sent on the connection.
+bool pooled_http_client::connection::hasCarried(const std::string& requestId) const
+{
+    if (requestId.empty())
+        return false;
+    const auto idHash = std::hash<std::string> {}(requestId);
+    return std::any_of(m_carriedRequests.begin(), m_carriedRequests.end(),
+        [&](const carried_request& carried) { return carried.idHash == idHash; });
+}
+
 void pooled_http_client::connection::connect()
 {
     m_socket.async_connect(
@@ -424,8 +470,9 @@
 
 pooled_http_client::handle pooled_http_client::send(outgoing_request request, result_hook onResult)
 {
-    auto chosen = m_state->takeIdle(request.maxIdleTime);
+    auto chosen = m_state->takeIdle(request);
     if (!chosen) {
+        m_state->replaceCarrier(request.id);
         if (m_state->connections.size() >= m_state->limits.connections) {
             outgoing_result result;
             result.failure = { error_kind::TargetUnreachable, "too many connections" };
--- a/transport/pooled_http_client.h
+++ b/transport/pooled_http_client.h
@@ -31,6 +31,9 @@
     milliseconds expiresAt; ///< The call then fails with AnswerTimeout.
     /// Returns whether a response belongs to this request; others are discarded. If empty, all are accepted.
     std::function<bool(const response_head&)> isMatchingResponse;
+    /// If set, the request is not sent on a connection that has carried a request with this id: a late copy of
+    /// the response to the earlier one could not be told from the response to this one.
+    std::string id;
     milliseconds maxIdleTime { 1e9 }; ///< Connections that have been idle for longer are not reused.
 };
 
@@ -46,7 +49,7 @@
 /// Sends requests to one address over persistent connections, one request at a time on each.
 ///
 /// A call that fails or is cancelled closes its connection, so that a late response can't be mistaken for the
-/// response to another request. Idle connections are monitored: one that receives unexpected data or is
+/// response to another request. A request that is sent again goes over another connection. Idle connections are monitored: one that receives unexpected data or is
 /// closed by the remote side is removed at once.
 class pooled_http_client {
 public:
