transport, platform: Trust a response without a request id on a new connection only

What callers could see: an instance gives a refusal without an id once more, late. The copy passed for the refusal of the next request on the connection, which had run or was running: it ran again at another instance, or its client was told that it had not run.

Cause: a failure without an id matched any request.

Change: a response that names no request is accepted only as the first one on its connection, where no earlier response can be repeated. On a reused connection it fails the call as one that may have run.

The check `isMatchingResponse(503 without an id)` is replaced by one that expects "unidentified"; what becomes of such a response is checked in trustsAResponseWithoutAnIdOnANewConnectionOnly.

--- a/mesh/local_target.cpp
+++ b/mesh/local_target.cpp
@@ -190,8 +190,8 @@
         { active.call.instance, timeLeft, active.call.callerService }, outgoing.request.fields);
     if (!active.call.isIdempotent)
         outgoing.maxIdleTime = maxIdleForNonIdempotent;
-    outgoing.isMatchingResponse = [this, requestId = active.call.requestId](const response_head& head) {
-        return m_protocol.isMatchingResponse(head, requestId);
+    outgoing.matchResponse = [this, requestId = active.call.requestId](const response_head& head) {
+        return m_protocol.matchResponse(head, requestId);
     };
     active.pendingSend = m_pool.send(
         std::move(outgoing), [this, id](outgoing_result result) { finish(id, std::move(result)); });
--- a/mesh/target_protocol.h
+++ b/mesh/target_protocol.h
@@ -46,7 +46,7 @@
     /// Adds the metadata for the target to the header fields of a request.
     std::function<void(const target_request_info&, header_fields&)> addTargetFields;
     /// @return whether a response belongs to the request with that id.
-    std::function<bool(const response_head&, const std::string& requestId)> isMatchingResponse;
+    std::function<response_match(const response_head&, const std::string& requestId)> matchResponse;
     /// Extracts the metadata of a target's response.
     std::function<target_response_info(const response_head&)> parseResponse;
     /// Removes the header fields that are meant for the node only from a target's response.
--- a/tests/mesh/raw_instance.cpp
+++ b/tests/mesh/raw_instance.cpp
@@ -37,12 +37,11 @@
 void raw_instance::connection::writeLater(std::chrono::milliseconds delay, std::function<void()> action)
 {
     auto timer = std::make_shared<asio::steady_timer>(m_owner.m_io, delay);
-    timer->async_wait(
-        [timer, self = shared_from_this(), isOpen = m_owner.m_isOpen, action = std::move(action)](
-            const boost::system::error_code& code) {
-            if (!code && *isOpen)
-                action();
-        });
+    timer->async_wait([timer, self = shared_from_this(), isOpen = m_owner.m_isOpen,
+                          action = std::move(action)](const boost::system::error_code& code) {
+        if (!code && *isOpen)
+            action();
+    });
 }
 
 void raw_instance::connection::close(bool isReset)
--- a/tests/mesh/repeated_response_test.cpp
+++ b/tests/mesh/repeated_response_test.cpp
@@ -22,7 +22,7 @@
 };
 
 /// What a faulty instance does with the request id in its refusals.
-enum class id_form { Kept, LowerCaseName, Count };
+enum class id_form { Kept, LowerCaseName, Missing, Count };
 
 template <typename enumeration> enumeration pick(std::mt19937& random)
 {
@@ -58,6 +58,7 @@
         case id_form::LowerCaseName:
             idLine = "request-id: " + id + "\r\n";
             break;
+        case id_form::Missing:
         case id_form::Count:
             break;
         }
--- a/tests/platform/platform_protocol_test.cpp
+++ b/tests/platform/platform_protocol_test.cpp
@@ -70,15 +70,16 @@
 
 TEST(platform_protocol, detectsResponseToAnotherRequest)
 {
-    CHECK(protocol.isMatchingResponse(makeHead(200, { { "Request-Id", "a" } }), "a"));
-    CHECK_FALSE(protocol.isMatchingResponse(makeHead(200, { { "Request-Id", "b" } }), "a"));
+    CHECK(response_match::Matches == protocol.matchResponse(makeHead(200, { { "request-id", "a" } }), "a"));
+    CHECK(response_match::OtherRequest
+        == protocol.matchResponse(makeHead(200, { { "Request-Id", "b" } }), "a"));
 }
 
 // The end of another response, parsed as a response of its own, must not pass for a success.
 TEST(platform_protocol, aSuccessWithoutARequestIdMatchesNoRequest)
 {
-    CHECK_FALSE(protocol.isMatchingResponse(makeHead(200, {}), "a"));
-    CHECK(protocol.isMatchingResponse(makeHead(503, {}), "a"));
+    CHECK(response_match::OtherRequest == protocol.matchResponse(makeHead(200, {}), "a"));
+    CHECK(response_match::Unidentified == protocol.matchResponse(makeHead(503, {}), "a"));
 }
 
 TEST(platform_protocol, parsesTheRateLimit)
--- a/tests/transport/pooled_http_client_test.cpp
+++ b/tests/transport/pooled_http_client_test.cpp
@@ -92,7 +92,12 @@
         outgoing.request.body = body;
         outgoing.expiresAt = fuchsiagauge::clock::makeBoot().now() + milliseconds(10000);
         outgoing.id = id;
-        outgoing.isMatchingResponse = [id](const response_head& head) { return head.fields.get("id") == id; };
+        outgoing.matchResponse = [id](const response_head& head) {
+            const auto* found = head.fields.find("id");
+            if (!found)
+                return response_match::Unidentified;
+            return *found == id ? response_match::Matches : response_match::OtherRequest;
+        };
         return client->send(
             std::move(outgoing), [this](outgoing_result ended) { result = std::move(ended); });
     }
@@ -363,6 +368,19 @@
     runUntil([&] { return connections.front().isClosed; });
 }
 
+// A late copy of a refusal without an id must not pass for the response to the next request.
+TEST(pooled_http_client, trustsAResponseWithoutAnIdOnANewConnectionOnly)
+{
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy";
+    send("a");
+    respond(refusal);
+    expectResponse("busy");
+    send("b");
+    respond(refusal);
+    expectFailure(error_kind::BrokenAnswer, true);
+    runUntil([&] { return connections.back().isClosed; });
+}
+
 // The connection ends before the last chunk: what arrived looks whole but for the end mark.
 TEST(pooled_http_client, reportsAChunkedResponseWithoutItsEndAsBroken)
 {
--- a/transport/call.h
+++ b/transport/call.h
@@ -66,6 +66,13 @@
     std::optional<std::uint64_t> contentLength; ///< Empty: the length is not known in advance.
 };
 
+/// Whether a response belongs to a request.
+enum class response_match {
+    Matches,
+    OtherRequest,
+    Unidentified ///< The response names no request.
+};
+
 /// @return whether two field names are equal, ignoring case.
 bool equalsIgnoringCase(const std::string& name, const char* expected);
 
--- a/transport/pooled_http_client.cpp
+++ b/transport/pooled_http_client.cpp
@@ -61,7 +61,8 @@
     void read();
     void onRead(const boost::system::error_code& code, std::size_t count);
     std::size_t parse(const char* data, std::size_t size);
-    bool acceptMessage();
+    bool handleMessage(bool isFollowedByData);
+    response_match matchMessage();
     void onReadFailed(const boost::system::error_code& code);
     void finish();
     void failCall(error_kind kind, const std::string& detail);
@@ -127,8 +128,8 @@
         return nullptr;
     }
 
-    /// Closes an idle connection that must not carry the request, so that the new connection which the request
-    /// needs does not add to their number.
+    /// Closes an idle connection that must not carry the request, so that the new connection which the
+    /// request needs does not add to their number.
     void replaceCarrier(const std::string& requestId)
     {
         const auto carrier = std::find_if(
@@ -327,16 +328,10 @@
             failCall(error_kind::BrokenAnswer, code.message());
             return size;
         }
-        const bool isDone = m_parser->is_done();
-        if (isDone && acceptMessage()) {
-            if (used < size)
-                m_hasUnrequestedData = true;
-            finish();
-            return size;
-        }
-        if (isDone && ++m_skippedMessages > maxSkippedMessages) {
-            failCall(error_kind::BrokenAnswer, "too many interim responses and responses to other requests");
-            return size;
+        if (m_parser->is_done()) {
+            if (handleMessage(used < size))
+                return size;
+            continue;
         }
         if (needsMore && step == 0)
             return used;
@@ -344,23 +339,46 @@
     return used;
 }
 
-/// Discards interim responses and responses to other requests.
-/// @return whether the parsed message is the response to the current call.
-bool pooled_http_client::connection::acceptMessage()
+/// Ends the call with the parsed message, or discards an interim response or a response to another request.
+/// @param isFollowedByData whether more data arrived after the message.
+/// @return whether the call has ended.
+bool pooled_http_client::connection::handleMessage(bool isFollowedByData)
 {
-    if (m_parser->status < firstFinalStatus) {
-        resetParser();
-        return false;
+    const auto match = matchMessage();
+    if (match == response_match::Matches) {
+        m_hasUnrequestedData = m_hasUnrequestedData || isFollowedByData;
+        finish();
+        return true;
+    }
+    if (match == response_match::Unidentified) {
+        failCall(error_kind::BrokenAnswer, "a response that names no request on a reused connection");
+        return true;
+    }
+    if (++m_skippedMessages > maxSkippedMessages) {
+        failCall(error_kind::BrokenAnswer, "too many interim responses and responses to other requests");
+        return true;
     }
+    resetParser();
+    return false;
+}
+
+response_match pooled_http_client::connection::matchMessage()
+{
+    if (m_parser->status < firstFinalStatus)
+        return response_match::OtherRequest;
+    if (!m_request.matchResponse)
+        return response_match::Matches;
     response_head head;
     head.status = m_parser->status;
     head.fields = m_parser->fields;
-    if (m_request.isMatchingResponse && !m_request.isMatchingResponse(head)) {
-        m_hasUnrequestedData = true;
-        resetParser();
-        return false;
-    }
-    return true;
+    const auto match = m_request.matchResponse(head);
+    if (match == response_match::Matches)
+        return match;
+    const bool isFirstMessage = m_callNumber == 1 && !m_hasUnrequestedData;
+    if (match == response_match::Unidentified && isFirstMessage)
+        return response_match::Matches;
+    m_hasUnrequestedData = true;
+    return match;
 }
 
 void pooled_http_client::connection::onReadFailed(const boost::system::error_code& code)
@@ -369,10 +387,8 @@
     if (isCleanEnd && m_parser->is_header_done() && m_parser->need_eof()) {
         boost::system::error_code endCode;
         m_parser->put_eof(endCode);
-        if (!endCode && m_parser->is_done() && acceptMessage()) {
-            finish();
+        if (!endCode && m_parser->is_done() && handleMessage(false))
             return;
-        }
     }
     failCall(m_parser->got_some() ? error_kind::BrokenAnswer : error_kind::ConnectionLost, code.message());
 }
--- a/transport/pooled_http_client.h
+++ b/transport/pooled_http_client.h
@@ -29,10 +29,12 @@
 struct outgoing_request {
     call_request request;
     milliseconds expiresAt; ///< The call then fails with AnswerTimeout.
-    /// Returns whether a response belongs to this request; others are discarded. If empty, all are accepted.
-    std::function<bool(const response_head&)> isMatchingResponse;
-    /// If set, the request is not sent on a connection that has carried a request with this id: a late copy of
-    /// the response to the earlier one could not be told from the response to this one.
+    /// Returns whether a response belongs to this request; those to others are discarded. A response that
+    /// names no request is accepted only as the first one on its connection, and fails the call on a reused
+    /// one: it may be a late copy of an earlier response. If empty, all are accepted.
+    std::function<response_match(const response_head&)> matchResponse;
+    /// If set, the request is not sent on a connection that has carried a request with this id: a late copy
+    /// of the response to the earlier one could not be told from the response to this one.
     std::string id;
     milliseconds maxIdleTime { 1e9 }; ///< Connections that have been idle for longer are not reused.
 };
@@ -49,8 +51,8 @@
 /// Sends requests to one address over persistent connections, one request at a time on each.
 ///
 /// A call that fails or is cancelled closes its connection, so that a late response can't be mistaken for the
-/// response to another request. A request that is sent again goes over another connection. Idle connections are monitored: one that receives unexpected data or is
-/// closed by the remote side is removed at once.
+/// response to another request. A request that is sent again goes over another connection. Idle connections
+/// are monitored: one that receives unexpected data or is closed by the remote side is removed at once.
 class pooled_http_client {
 public:
     using result_hook = std::function<void(outgoing_result)>;
