platform: Match no response whose head names two requests

What callers could see: a 200 with the body of another response (MIXED). An instance stops within the head of its response and goes on with a whole response to another request, as a late copy on a kept connection.

Cause: the two heads parse as one, with two request ids, the framing of the second and the id of the first. The first id alone was compared.

--- a/tests/platform/platform_protocol_test.cpp
+++ b/tests/platform/platform_protocol_test.cpp
@@ -75,6 +75,14 @@
         == protocol.matchResponse(makeHead(200, { { "Request-Id", "b" } }), "a"));
 }
 
+// A head that breaks off and is continued by the head of another response has the ids of both.
+TEST(platform_protocol, aHeadWithTheIdsOfTwoRequestsMatchesNeither)
+{
+    const auto head = makeHead(200, { { "Request-Id", "a" }, { "Request-Id", "b" } });
+    CHECK(response_match::OtherRequest == protocol.matchResponse(head, "a"));
+    CHECK(response_match::OtherRequest == protocol.matchResponse(head, "b"));
+}
+
 // The end of another response, parsed as a response of its own, must not pass for a success.
 TEST(platform_protocol, aSuccessWithoutARequestIdMatchesNoRequest)
 {
