policy, platform, mesh: Bound how long a node acts on unconfirmed items

Cause: nothing bounded the age of what a node acts on; each wait was bounded alone. After a change a reader pauses for 0.8 s to gather further ones, and the probes that notice a silent store began 0.5 s after the next watch and were given 0.9 s: 2.2 s since the store's last word, and other nodes believed the reader all that time. At the end of the pause an answered probe would have proved nothing, as no watch was open.

Change: the store client tells when all changes up to a time are known: at each answered watch, and at each answered probe that shows no further change while a watch is open. The next probe is due from that time, and what is left of the time to notice silence bounds it. A reader whose items are unconfirmed for 0.75 of the bound is no source any more; it tells its age with each answer, and a node whose source was confirmed longer ago than 0.85 of the bound reads by itself. The bound is the shorter of configApplyS and drainS (new setting platform.drain_s). Changes are merged before held polls are answered, so that no answer vouches for items that it lacks.

Worst case for a bound of 2 s: readers silent at once 1.5 s + two polls + one read; a silent source 1.7 s + one read; a read takes two round trips (about 0.06 s between regions).

Cost: one probe, a tenth of a call, for each batch of changes and reader.

--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -45,6 +45,18 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
     }
 
+    /// Splits the time for which a node may act on items that are out of date.
+    replica_exchange::options makeExchangeOptions(const mesh_settings& config)
+    {
+        const auto bound = config.getStalenessBound();
+        replica_exchange::options options;
+        options.readerStaleness = bound * 0.75;
+        options.nodeStaleness = bound * 0.85;
+        options.pollWait = std::min(options.pollWait, bound * 0.3);
+        options.answerMargin = std::min(options.answerMargin, bound * 0.2);
+        return options;
+    }
+
     std::function<double()> makeRandom()
     {
         auto generator = std::make_shared<std::mt19937>(std::random_device {}());
@@ -126,7 +138,7 @@
     , target(ioContext, time, config.target, protocol, config.retryLimits, memory,
           [this](const std::string& requestId) { onLocalRetry(requestId); })
     , peerPools(ioContext, time, memory)
-    , exchange(time, {}, config.peersListener.host, makeExchangeHooks())
+    , exchange(time, makeExchangeOptions(config), config.peersListener.host, makeExchangeHooks())
     , callContext { config, time, protocol, std::make_shared<const traffic_rules>(), directory, picker,
         splitter, target, peerPools, counters, log, random, [this] { exchange.reportOutdated(); } }
     , callersServer(ioContext, time, config.maxConnections,
--- a/mesh/mesh_settings.cpp
+++ b/mesh/mesh_settings.cpp
@@ -74,6 +74,10 @@
         makeNumberRow("platform.apply_s", 2, 0.5, 60,
             "Time within which a change of the configuration must be in force, in seconds. A silent store is "
             "noticed in less."),
+        makeNumberRow("platform.drain_s", 60, 0.1, 3600,
+            "Time within which an instance must get no further requests after it has been reported as "
+            "leaving, "
+            "in seconds."),
         makeNumberRow(
             "stop.grace_s", 6, 1, 3600, "Time from the stop signal until the process is killed, in seconds."),
         makeNumberRow("repeats.ratio", 0.2, 0, 1,
@@ -132,6 +136,7 @@
     result.platform = readAddress(*values, "platform.address");
     result.watchTimeout = readSeconds(*values, "platform.watch_s");
     result.applyTime = readSeconds(*values, "platform.apply_s");
+    result.drainTime = readSeconds(*values, "platform.drain_s");
     result.gracePeriod = readSeconds(*values, "stop.grace_s");
     result.retryLimits.ratio = values->getNumber("repeats.ratio");
     result.retryLimits.window = readSeconds(*values, "repeats.window_s");
--- a/mesh/mesh_settings.h
+++ b/mesh/mesh_settings.h
@@ -6,6 +6,7 @@
 #include "policy/instance_picker.h"
 #include "policy/retry_budget.h"
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -32,12 +33,17 @@
     milliseconds watchTimeout { 5000 }; ///< Maximum duration of one watch request.
     /// Time within which a change of the configuration must be in force everywhere.
     milliseconds applyTime { 2000 };
+    /// Time within which an instance must get no further requests after it has been reported as leaving.
+    milliseconds drainTime { 60000 };
     milliseconds gracePeriod { 6000 }; ///< Time from the stop signal until the process is killed.
     retry_limits retryLimits;
     std::size_t maxConnections = 3000; ///< Per listener.
     std::size_t memoryBytes = 268435456; ///< Memory that the process may use.
     std::string logLevel;
 
+    /// @return how long a node may act on items that are out of date.
+    milliseconds getStalenessBound() const { return std::min(applyTime, drainTime); }
+
     /// Loads settings from a file of JSON with comments.
     /// @return the settings, or nothing with error_kind::BadSettings and one line per error.
     static std::optional<mesh_settings> load(const std::string& fileName);
--- a/mesh/replica_messages.cpp
+++ b/mesh/replica_messages.cpp
@@ -92,6 +92,7 @@
 {
     json document { { "reader", answer.isReader }, { "connected", answer.isConnected },
         { "connectedForMs", static_cast<std::uint64_t>(answer.connectedFor.getCount()) },
+        { "confirmedAgoMs", static_cast<std::uint64_t>(answer.confirmedAgo.getCount()) },
         { "revision", answer.changes.revision }, { "complete", answer.changes.isComplete },
         { "items", json::array() }, { "removed", json::array() } };
     for (const auto& item : answer.changes.items)
@@ -119,6 +120,10 @@
     answer.isReader = getFlag(document, "reader");
     answer.isConnected = getFlag(document, "connected");
     answer.connectedFor = milliseconds(connectedFor->get<double>());
+    // Nodes of an earlier version don't send the field.
+    const auto confirmedAgo = document.find("confirmedAgoMs");
+    if (confirmedAgo != document.end() && confirmedAgo->is_number_unsigned())
+        answer.confirmedAgo = milliseconds(confirmedAgo->get<double>());
     answer.changes.revision = revision->get<std::uint64_t>();
     answer.changes.isComplete = getFlag(document, "complete");
     if (!decodeArray(document, "items", decodeItem, answer.changes.items)
--- a/policy/replica_exchange.cpp
+++ b/policy/replica_exchange.cpp
@@ -35,6 +35,17 @@
     if (!m_isPlatformReachable)
         m_platformReachableSince = now;
     m_isPlatformReachable = true;
+    onPlatformConfirmed({});
+}
+
+void replica_exchange::onPlatformConfirmed(milliseconds ago)
+{
+    const auto now = m_time.now();
+    if (!m_isPlatformReachable)
+        return;
+    if (now - m_platformConfirmedAt > m_options.readerStaleness)
+        m_platformReachableSince = now;
+    m_platformConfirmedAt = std::max(m_platformConfirmedAt, now - ago);
     updateConnection(now, {});
     answerHeldPolls(now);
 }
@@ -74,6 +85,7 @@
     const auto now = m_time.now();
     publishIfConfirmed(now);
     answerHeldPolls(now);
+    checkStaleness(now);
     sendRecheck(now);
     sendDuePoll();
 }
@@ -86,7 +98,24 @@
 
 bool replica_exchange::mustRead() const
 {
-    return m_selector.isReader() || m_failedPolls >= m_options.maxFailedPolls;
+    return m_selector.isReader() || m_failedPolls >= m_options.maxFailedPolls || m_isSourceStale;
+}
+
+/// @return whether this node reads the platform and its items are current.
+bool replica_exchange::isReadingIntact(milliseconds now) const
+{
+    return m_isReader && m_isPlatformReachable && m_replica.isComplete()
+        && now - m_platformConfirmedAt <= m_options.readerStaleness;
+}
+
+/// Makes this node read by itself if it has not heard for too long that its items are current.
+void replica_exchange::checkStaleness(milliseconds now)
+{
+    if (m_isReader || !m_isPublishing || now - m_sourceConfirmedAt <= m_options.nodeStaleness)
+        return;
+    m_isSourceStale = true;
+    m_isSourceConnected = false;
+    updateRole();
 }
 
 bool replica_exchange::isAwaitingRegistrations() const
@@ -100,12 +129,14 @@
     const bool isReader = mustRead();
     if (isReader == m_isReader)
         return;
-    const bool wasReadingIntact = isReadingIntact();
+    const auto now = m_time.now();
+    const bool wasReadingIntact = isReadingIntact(now);
     m_isReader = isReader;
     if (!isReader && wasReadingIntact) {
         // The source has proved to be connected, or its first answer will tell.
         m_isSourceConnected = true;
         m_sourceConnectedSince = std::max(m_sourceConnectedSince, m_platformReachableSince);
+        m_sourceConfirmedAt = std::max(m_sourceConfirmedAt, m_platformConfirmedAt);
     }
     m_isPlatformReachable = false;
     m_hooks.onRoleChanged(isReader);
@@ -169,8 +200,11 @@
     const bool isUsable = recordAnswer(host, answer, now);
     m_isSourceConnected = isUsable;
     m_failedPolls = isUsable ? 0 : m_failedPolls + 1;
-    if (isUsable)
+    if (isUsable) {
         m_sourceConnectedSince = now - answer->connectedFor;
+        m_sourceConfirmedAt = std::max(m_sourceConfirmedAt, now - answer->confirmedAgo);
+        m_isSourceStale = now - m_sourceConfirmedAt > m_options.nodeStaleness;
+    }
     updateRole();
     // Another usable source may still be connected, so the connection does not count as lost before that one
     // has answered.
@@ -218,8 +252,9 @@
 {
     replica_answer answer;
     answer.isReader = m_isReader && !m_isStopped;
-    answer.isConnected = isReadingIntact();
+    answer.isConnected = isReadingIntact(now);
     answer.connectedFor = answer.isConnected ? now - m_platformReachableSince : milliseconds();
+    answer.confirmedAgo = answer.isConnected ? now - m_platformConfirmedAt : milliseconds();
     answer.changes = m_replica.getChangesSince(poll.after);
     return answer;
 }
@@ -228,7 +263,7 @@
 /// which there are changes; once it is none, it answers all, so that the other nodes learn elsewhere.
 void replica_exchange::answerHeldPolls(milliseconds now)
 {
-    const bool isSource = isReadingIntact() && !m_isStopped;
+    const bool isSource = isReadingIntact(now) && !m_isStopped;
     const bool wasSource = std::exchange(m_wasSource, isSource);
     std::list<held_poll> due;
     for (auto item = m_heldPolls.begin(); item != m_heldPolls.end();) {
@@ -245,7 +280,7 @@
 /// Reports when the connection to the platform, direct or through a source, is lost or regained.
 void replica_exchange::updateConnection(milliseconds now, const std::string& reason)
 {
-    const bool isConnected = isReadingIntact() || m_isSourceConnected;
+    const bool isConnected = isReadingIntact(now) || m_isSourceConnected;
     if (isConnected == m_isConnected)
         return;
     m_isConnected = isConnected;
@@ -253,7 +288,7 @@
         m_hooks.onDisconnected(reason);
         return;
     }
-    m_hooks.onReconnected(isReadingIntact() ? m_platformReachableSince : m_sourceConnectedSince);
+    m_hooks.onReconnected(isReadingIntact(now) ? m_platformReachableSince : m_sourceConnectedSince);
     publishIfConfirmed(now);
 }
 
--- a/policy/replica_exchange.h
+++ b/policy/replica_exchange.h
@@ -35,12 +35,13 @@
     bool isReader = false; ///< The answering node reads the platform itself.
     bool isConnected = false; ///< It has an intact connection to the platform.
     milliseconds connectedFor; ///< How long it has been connected; 0 if it is not.
+    milliseconds confirmedAgo; ///< How long ago the platform has confirmed that its items are current.
     item_changes changes;
 
     friend bool operator==(const replica_answer& a, const replica_answer& b)
     {
-        return std::tie(a.isReader, a.isConnected, a.connectedFor, a.changes)
-            == std::tie(b.isReader, b.isConnected, b.connectedFor, b.changes);
+        return std::tie(a.isReader, a.isConnected, a.connectedFor, a.confirmedAgo, a.changes)
+            == std::tie(b.isReader, b.isConnected, b.connectedFor, b.confirmedAgo, b.changes);
     }
     friend bool operator!=(const replica_answer& a, const replica_answer& b) { return !(a == b); }
 };
@@ -51,6 +52,11 @@
 /// A reader polls another reader too, so changes reach it even while its own connection to the platform is
 /// silent.
 ///
+/// Each node knows when the platform has last confirmed its items, directly or through its source. A reader
+/// whose items have not been confirmed for too long is no source any more, and another node then reads the
+/// platform by itself. Together the two limits bound how long a node acts on items that are out of date,
+/// whatever has failed in between.
+///
 /// The first set of items may be out of date, as the platform serves it from a cache. It is passed on only
 /// after a source connected to the platform has brought it up to date, so an instance that has left is not
 /// used again after a restart. If no source is connected, it is used after a timeout.
@@ -65,6 +71,12 @@
         milliseconds answerMargin { 400 };
         /// After this many polls in a row without a usable source, a node reads the platform by itself.
         int maxFailedPolls = 2;
+        /// A reader whose items the platform has not confirmed for longer does not count as connected. Longer
+        /// than the platform client takes to notice that the platform is silent.
+        milliseconds readerStaleness { 1500 };
+        /// A node reads the platform by itself if its items have not been confirmed for longer. It leaves
+        /// time for one read within the shortest time limit for applying a change.
+        milliseconds nodeStaleness { 1700 };
         /// Items that no source connected has confirmed are used after this time all the same.
         milliseconds confirmationTimeout { 1500 };
         /// Time after the start in which the instances of a starting fleet register.
@@ -106,6 +118,10 @@
     /// Records that the platform answers this node.
     void onPlatformReachable();
 
+    /// Records that all changes up to a recent time have been passed to applyFromPlatform().
+    /// @param ago how long ago that time is.
+    void onPlatformConfirmed(milliseconds ago);
+
     /// Records that the platform does not answer this node.
     void onPlatformUnreachable(const std::string& reason);
 
@@ -142,6 +158,7 @@
 
     void updateRole();
     bool mustRead() const;
+    void checkStaleness(milliseconds now);
     void sendDuePoll();
     void sendRecheck(milliseconds now);
     bool recordAnswer(const std::string& host, const std::optional<replica_answer>& answer, milliseconds now);
@@ -152,7 +169,7 @@
     replica_answer makeAnswer(const replica_poll& poll, milliseconds now) const;
     void answerHeldPolls(milliseconds now);
     void updateConnection(milliseconds now, const std::string& reason);
-    bool isReadingIntact() const { return m_isReader && m_isPlatformReachable && m_replica.isComplete(); }
+    bool isReadingIntact(milliseconds now) const;
 
     clock m_time;
     options m_options;
@@ -164,8 +181,12 @@
     bool m_isReader = true; ///< Until the zone's nodes are known.
     bool m_isPlatformReachable = false;
     milliseconds m_platformReachableSince;
+    milliseconds m_platformConfirmedAt { -1e9 };
     bool m_isSourceConnected = false;
     milliseconds m_sourceConnectedSince;
+    /// When the platform has confirmed the items of the source, or of this node while it was a reader.
+    milliseconds m_sourceConfirmedAt { -1e9 };
+    bool m_isSourceStale = false; ///< This node reads by itself until a source has been confirmed again.
     bool m_isConnected = false;
     bool m_wasSource = false; ///< Whether it was a usable source when held polls were last answered.
     bool m_isPollOpen = false;
--- a/tests/mesh/replica_messages_test.cpp
+++ b/tests/mesh/replica_messages_test.cpp
@@ -27,6 +27,7 @@
     answer.isReader = true;
     answer.isConnected = true;
     answer.connectedFor = milliseconds(1500);
+    answer.confirmedAgo = milliseconds(400);
     answer.changes
         = { 90, true, { { "op/config", std::string("a\0\xff", 3), 88 } }, { { "servers/i-1", 90 } } };
     CHECK(decodeReplicaAnswer(encodeReplicaAnswer(answer)) == answer);
@@ -34,7 +35,7 @@
 
 TEST(replica_messages, rejectsMalformedAnswers)
 {
-    const auto valid = encodeReplicaAnswer({ true, true, {}, { 9, false, { { "k", "v", 8 } }, {} } });
+    const auto valid = encodeReplicaAnswer({ true, true, {}, {}, { 9, false, { { "k", "v", 8 } }, {} } });
     CHECK(decodeReplicaAnswer(valid).has_value());
     for (std::size_t size = 0; size < valid.size(); ++size)
         CHECK_FALSE(decodeReplicaAnswer(valid.substr(0, size)).has_value());
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -54,6 +54,7 @@
     std::vector<std::string> removedKeys;
     std::vector<std::string> unreachableReasons;
     int reachableCount = 0;
+    std::vector<milliseconds> confirmations; ///< How long ago each confirmed time was.
     int missedChangeCount = 0; ///< Watches that were replaced because they did not report a change.
     milliseconds batchDelay { 1 };
     milliseconds probeInterval { 1e7 };
@@ -128,8 +129,8 @@
                 [this](const item_changes& changes) { record(changes); },
                 [this] { return relistCount-- > 0; }, [] {},
                 [this](const std::string& reason) { unreachableReasons.push_back(reason); },
-                [this] { ++reachableCount; },
-                [this](std::uint64_t, std::uint64_t) { ++missedChangeCount; } });
+                [this] { ++reachableCount; }, [this](std::uint64_t, std::uint64_t) { ++missedChangeCount; },
+                [this](milliseconds ago) { confirmations.push_back(ago); } });
         client->start();
     }
 
@@ -308,6 +309,39 @@
     CHECK_EQUAL(1U, unreachableReasons.size());
 }
 
+// Before the watch that follows a change, nothing asks the store for a while. The next probe must not wait
+// longer.
+TEST(store_client, probesAtOnceIfTheLastConfirmationIsOldWhenAWatchIsSent)
+{
+    constexpr milliseconds interval { 1e6 };
+    batchDelay = milliseconds(20);
+    probeInterval = interval;
+    start({ { 200, lastPage },
+        { 200, R"({"events":[{"key":"servers/i-2","value":"eA==","rev":13}],"storeRevision":13})" } });
+    runUntil([this] { return items.size() == 1; });
+    clockOffset = interval;
+    runUntil([this] { return probeCount == 1; });
+    CHECK(requestTargets.back().find("after=13&waitMs=5000") != std::string::npos);
+}
+
+// An answer to a probe confirms the items unless it shows a change that the open watch has not reported.
+TEST(store_client, confirmsItsItemsByProbesThatShowNoFurtherChange)
+{
+    probeBody = R"({"storeRevision":12})";
+    probeInterval = milliseconds(1);
+    probeTimeout = milliseconds(1e6);
+    start({ { 200, lastPage }, { 200, noEvents } });
+    runUntil([this] { return confirmations.size() >= 3; });
+    DOUBLES_EQUAL(0, confirmations[0].getCount(), 0);
+    CHECK(confirmations[1] > milliseconds());
+    probeBody = R"({"storeRevision":13})";
+    const auto probesBefore = probeCount;
+    runUntil([&] { return probeCount >= probesBefore + 2; });
+    const auto confirmed = confirmations.size();
+    runUntil([this] { return missedChangeCount == 1; });
+    CHECK_EQUAL(confirmed, confirmations.size());
+}
+
 TEST(store_client, toleratesOneLostProbe)
 {
     probeStatus = 0;
--- a/tests/policy/replica_exchange_test.cpp
+++ b/tests/policy/replica_exchange_test.cpp
@@ -116,6 +116,46 @@
     expectInForce("01", shortestApplyBound);
 }
 
+// The store is cut off from both readers of a zone at any moment after a change, also while they gather
+// further changes and neither watch nor probe. The other nodes must not act on their word for too long.
+TEST(replica_exchange, survivesBothReadersCutFromTheStoreAtAnyMomentAfterAChange)
+{
+    constexpr double stepMs = 50;
+    constexpr double lastMs = 1500;
+    int version = 10;
+    for (double afterMs = stepMs; afterMs <= lastMs; afterMs += stepMs) {
+        const auto readers = fleet.findReaders(0);
+        fleet.publish(std::to_string(++version));
+        fleet.advance(milliseconds(afterMs));
+        for (const auto reader : readers)
+            fleet.getFaults(reader).isCutFromStore = true;
+        fleet.publish(std::to_string(++version));
+        expectInForce(std::to_string(version), shortestApplyBound);
+        for (const auto reader : readers)
+            fleet.getFaults(reader).isCutFromStore = false;
+        fleet.advance(startTime);
+    }
+}
+
+// Both readers lose the store and then stop answering, before they have noticed.
+TEST(replica_exchange, survivesBothReadersSilentAfterTheyLostTheStore)
+{
+    int version = 10;
+    for (const double frozenAfterMs : { 100.0, 400.0, 700.0, 1000.0, 1300.0 }) {
+        const auto readers = fleet.findReaders(0);
+        for (const auto reader : readers)
+            fleet.getFaults(reader).isCutFromStore = true;
+        fleet.publish(std::to_string(++version));
+        fleet.advance(milliseconds(frozenAfterMs));
+        for (const auto reader : readers)
+            fleet.getFaults(reader).isFrozen = true;
+        expectInForce(std::to_string(version), shortestApplyBound - milliseconds(frozenAfterMs));
+        for (const auto reader : readers)
+            fleet.getFaults(reader) = {};
+        fleet.advance(startTime);
+    }
+}
+
 // A change right after an outage must reach every node once the bounds hold again.
 TEST(replica_exchange, catchesUpSoonAfterAnOutageOfAnyLength)
 {
--- a/tests/policy/replica_fleet.cpp
+++ b/tests/policy/replica_fleet.cpp
@@ -13,8 +13,12 @@
 constexpr milliseconds batchDelay { 800 };
 constexpr milliseconds watchTimeout { 5000 };
 constexpr milliseconds watchCheckInterval { 50 };
-/// Time after which the probes of a store client notice a silent store.
+/// Time after the last confirmation until the store client probes a store that reports no change.
+constexpr milliseconds probeInterval { 500 };
+/// Time after the last confirmation until the probes of a store client notice a silent store, and the least
+/// time that they are given.
 constexpr milliseconds silenceDetectionTime { 1500 };
+constexpr milliseconds minProbeTime { 550 };
 constexpr milliseconds requestTimeout { 1000 };
 constexpr milliseconds retryDelay { 1000 };
 
@@ -151,10 +155,13 @@
             });
             return;
         }
-        node.isReachable = true;
-        node.exchange->onPlatformReachable();
         const auto after = node.exchange->getReplica().getRevision();
         node.exchange->applyFromPlatform(m_store.getChangesSince(after));
+        if (reading != node.reading)
+            return;
+        node.isReachable = true;
+        node.confirmedAt = m_now;
+        node.exchange->onPlatformReachable();
         if (reading == node.reading)
             watchStore(node, m_now);
     });
@@ -167,7 +174,8 @@
         if (reading != node.reading)
             return;
         if (!isStoreAnswering(node)) {
-            scheduleOn(node, silenceDetectionTime, [this, &node, reading] {
+            const auto left = node.confirmedAt + silenceDetectionTime - m_now;
+            scheduleOn(node, std::max(minProbeTime, left), [this, &node, reading] {
                 if (reading != node.reading)
                     return;
                 node.exchange->onPlatformUnreachable("silent");
@@ -177,12 +185,18 @@
         }
         const auto after = node.exchange->getReplica().getRevision();
         const auto changes = m_store.getChangesSince(after);
-        if (changes.items.empty() && m_now - openedAt < watchTimeout) {
+        const bool isDue = !changes.items.empty() || m_now - openedAt >= watchTimeout;
+        m_storeCalls += isDue ? 1 : 0;
+        if (isDue)
+            node.exchange->applyFromPlatform(changes);
+        if (isDue || m_now - node.confirmedAt >= probeInterval) {
+            node.confirmedAt = m_now;
+            node.exchange->onPlatformConfirmed({});
+        }
+        if (!isDue) {
             watchStore(node, openedAt);
             return;
         }
-        ++m_storeCalls;
-        node.exchange->applyFromPlatform(changes);
         const auto pause = changes.items.empty() ? milliseconds() : batchDelay;
         scheduleOn(node, pause, [this, &node, reading] {
             if (reading == node.reading)
--- a/tests/policy/replica_fleet.h
+++ b/tests/policy/replica_fleet.h
@@ -59,6 +59,7 @@
         std::string value;
         bool isReading = true;
         bool isReachable = false;
+        fuchsiagauge::milliseconds confirmedAt; ///< When the store has last confirmed the node's items.
         std::uint64_t life = 0; ///< Events of an earlier life are dropped.
         std::uint64_t reading = 0; ///< Store events of an earlier time as a reader are dropped.
     };
