mesh: Move requests that wait for a leaving instance

What callers could see (DRAIN): a request that waited at the gate of an instance reached it long after the instance had been reported as draining or removed.

Cause: only a node's own stop closed its gate. What the store says of the instance beside it did not.

Change: 0.15 of the bound after a node knows that its instance is draining or gone, its gate refuses new and waiting requests as not run, and they go to other instances. It opens again when the instance is listed as ready.

Shown: movesRequestsThatWaitForALeavingInstance failed before (the request waited until its client gave up after 15 s) and passes; admitsRequestsAgainIfTheInstanceReturns guards the return.

--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -83,6 +83,7 @@
     void onInstanceChange(const instance_directory::entry& entry, const char* change);
     void onLocalRetry(const std::string& requestId);
     void syncWithLocalInstance();
+    void updateLocalGate(milliseconds now);
     void finishStopIfDone(milliseconds now);
     bool isRefusingCalls() const;
     milliseconds getNoticePeriod() const;
@@ -117,6 +118,8 @@
     milliseconds stoppingSince;
     std::function<void()> onStopped;
     std::string localInstanceKey;
+    /// Since when the instance on this VM is known to be draining or gone.
+    std::optional<milliseconds> localInstanceLeavingSince;
     std::optional<double> reportedRateLimit; ///< Last logged rate limit of the local instance.
     bool hasListing = false;
     bool isStopping = false;
@@ -197,6 +200,7 @@
         std::remove_if(openCalls.begin(), openCalls.end(), [](const auto& call) { return call->isEnded(); }),
         openCalls.end());
     directory.tick(now);
+    updateLocalGate(now);
     target.tick();
     reportRateLimit();
     peerPools.tick();
@@ -402,11 +406,26 @@
     localInstanceKey = startKey;
 }
 
+/// Refuses new and waiting requests soon after the local instance is known to be leaving, so that they go to
+/// other instances. Nodes that learn of it later than this one may still send requests until then.
+void mesh_node::state::updateLocalGate(milliseconds now)
+{
+    constexpr double closingDelayShare = 0.15; // What nodeStaleness leaves of the bound.
+    const auto* entry = directory.findByTarget(config.target, config.service);
+    const bool isLeaving = entry ? entry->record.isDraining : !localInstanceKey.empty();
+    if (!isLeaving)
+        localInstanceLeavingSince.reset();
+    else if (!localInstanceLeavingSince)
+        localInstanceLeavingSince = now;
+    const bool hasLeft = localInstanceLeavingSince
+        && now - *localInstanceLeavingSince >= config.getStalenessBound() * closingDelayShare;
+    target.setDraining(hasLeft || isRefusingCalls());
+}
+
 void mesh_node::state::finishStopIfDone(milliseconds now)
 {
     const auto elapsed = now - stoppingSince;
     if (isRefusingCalls() && !isShuttingDown) {
-        target.setDraining(true);
         peersServer.beginClosing();
         if (callersServer.isDrained() && peersServer.isDrained()) {
             isShuttingDown = true;
--- a/tests/mesh/mesh_node_test.cpp
+++ b/tests/mesh/mesh_node_test.cpp
@@ -382,6 +382,46 @@
     LONGS_EQUAL(200, mesh.await(first).head.status);
 }
 
+// A request waits at the gate of an instance that then leaves. It must not reach the instance long after the
+// other nodes have stopped choosing it.
+TEST(mesh_node, movesRequestsThatWaitForALeavingInstance)
+{
+    constexpr milliseconds longTime { 60000 };
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& leaving = mesh.addVm("i-2", "orders");
+    leaving.slots = 1;
+    leaving.handler = test_mesh::makeHoldingHandler(leaving);
+    mesh.publishInstances();
+    auto rules = test_mesh::makeRules("orders", false);
+    rules.routes[0].latencyTarget = longTime;
+    rules.routes[0].timeout = longTime;
+    mesh.publishRules(rules);
+    const auto first = mesh.send(entry, "id-1");
+    mesh.runUntil([&] { return leaving.held.size() == 1; });
+    const auto second = mesh.send(entry, "id-2");
+    const auto& other = mesh.addVm("i-3", "orders");
+    other.node->applyRules(rules);
+    leaving.isDraining = true;
+    mesh.publishInstances();
+    LONGS_EQUAL(200, mesh.await(second).head.status);
+    CHECK_EQUAL(1U, other.received.size());
+    CHECK_EQUAL(1U, leaving.received.size());
+    test_mesh::makeRespondingHandler(200)(leaving.held[0]);
+    LONGS_EQUAL(200, mesh.await(first).head.status);
+}
+
+TEST(mesh_node, admitsRequestsAgainIfTheInstanceReturns)
+{
+    auto& entry = mesh.addVm("i-1", "orders");
+    entry.isDraining = true;
+    mesh.publishInstances();
+    mesh.publishRules(test_mesh::makeRules("orders", false));
+    mesh.runUntil([&] { return mesh.await(mesh.send(entry, "id-1")).head.status == 503; });
+    entry.isDraining = false;
+    mesh.publishInstances();
+    LONGS_EQUAL(200, mesh.await(mesh.send(entry, "id-2")).head.status);
+}
+
 TEST(mesh_node, aDownstreamCallInheritsTheDeadlineOfItsParent)
 {
     auto& entry = mesh.addVm("i-1", "front");
--- a/tests/mesh/test_mesh.cpp
+++ b/tests/mesh/test_mesh.cpp
@@ -99,6 +99,7 @@
         record.target = { member->host, targetPort };
         record.zone = member->zone;
         record.slots = member->slots;
+        record.isDraining = member->isDraining;
         listed.push_back(record);
     }
     for (const auto& member : m_vms)
--- a/tests/mesh/test_mesh.h
+++ b/tests/mesh/test_mesh.h
@@ -27,6 +27,7 @@
         std::string service;
         std::string zone;
         int slots = 2; ///< As listed by publishInstances().
+        bool isDraining = false; ///< As listed by publishInstances().
         std::unique_ptr<fuchsiagauge::http_server> instance;
         std::unique_ptr<raw_instance> rawInstance; ///< Replaces `instance` after replaceInstance().
         std::unique_ptr<fuchsiagauge::mesh_node> node;
