platform: Use no entry that can't be an instance

What callers could see: entries of another writer with an address that leads nowhere (port 0, `here:80`, `10.0.0:80`, `0.0.0.0:80`) counted as instances of the service that they name and got requests; a host that is no IP address was dialled as 0.0.0.0, the node itself. Such hosts also counted as nodes of the zone.

Cause: an address was any text with a port at its end, and nothing bounded the nesting before the parser built it.

--- a/core/json_text.cpp
+++ b/core/json_text.cpp
@@ -156,6 +156,28 @@
     return std::nullopt;
 }
 
+bool isNestedTooDeeply(const std::string& text)
+{
+    int depth = 0;
+    bool isInString = false;
+    for (std::size_t position = 0; position < text.size(); ++position) {
+        const char character = text[position];
+        if (isInString) {
+            if (character == '\\')
+                ++position;
+            isInString = character != '"';
+        } else if (character == '"') {
+            isInString = true;
+        } else if (character == '[' || character == '{') {
+            if (++depth > maxJsonDepth)
+                return true;
+        } else if (character == ']' || character == '}') {
+            --depth;
+        }
+    }
+    return false;
+}
+
 std::string describeJson(const json& value)
 {
     if (value.is_object())
