policy, mesh: Let no entry of an unknown service hide an instance

What callers could see: another writer leaves an entry with the address of an instance, a service that the configuration doesn't name and a later start. The instance got no more requests, and those for its service were refused. The host of such an entry also counted as a node of the zone, so that nodes polled it as a reader.

Cause: of several entries with one address the most recently started counts, as addresses are used again; whether its service exists was not asked.

They are kept, since the service may be added.

Shown: mesh_node, anEntryOfAnUnknownServiceHidesNoInstance got 503 before and 200 now; the directory's own test too.

--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <random>
+#include <set>
 #include <unistd.h>
 #include <utility>
 
@@ -79,6 +80,7 @@
     void handleAdminCall(const std::shared_ptr<incoming_call>& call);
     replica_exchange::hooks makeExchangeHooks();
     void updateNeighbours();
+    std::set<std::string> findServices(const traffic_rules& rules) const;
     bool isReady() const;
     void onInstanceChange(const instance_directory::entry& entry, const char* change);
     void onLocalRetry(const std::string& requestId);
@@ -336,12 +338,27 @@
     return hooks;
 }
 
+/// @return the services that the rules name, and the one of the instance on this VM.
+std::set<std::string> mesh_node::state::findServices(const traffic_rules& rules) const
+{
+    std::set<std::string> services { config.service };
+    for (const auto& [name, description] : rules.services)
+        services.insert(name);
+    for (const auto& route : rules.routes) {
+        for (const auto& destination : route.destinations)
+            services.insert(destination.service);
+    }
+    return services;
+}
+
 /// Finds the other nodes of the zone through the instances that they run beside.
 void mesh_node::state::updateNeighbours()
 {
     std::vector<std::string> hosts;
     for (const auto& [id, entry] : directory.getEntries()) {
-        if (entry.record.zone == config.location.zone && !entry.record.isDraining)
+        const bool isNeighbour = entry.record.zone == config.location.zone && !entry.record.isDraining
+            && directory.hasService(entry.record.service);
+        if (isNeighbour)
             hosts.push_back(entry.record.target.host);
     }
     if (!hosts.empty())
@@ -485,6 +502,7 @@
     if (rules.version <= previousVersion)
         return;
     self.callersServer.setLimits(rules.limits);
+    self.directory.setServices(self.findServices(rules));
     self.counters.rulesVersion.set(static_cast<double>(rules.version));
     self.log.write(event_kind::RulesAdopted, {},
         { { "version", static_cast<double>(rules.version) },
--- a/policy/instance_directory.cpp
+++ b/policy/instance_directory.cpp
@@ -1,7 +1,6 @@
 #include "policy/instance_directory.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace fuchsiagauge {
@@ -121,6 +120,17 @@
     }
 }
 
+void instance_directory::setServices(std::set<std::string> services)
+{
+    m_services = std::move(services);
+    m_isIndexOutdated = true;
+}
+
+bool instance_directory::hasService(const std::string& service) const
+{
+    return m_services.empty() || m_services.count(service) > 0;
+}
+
 const std::vector<const instance_directory::entry*>& instance_directory::findService(
     const std::string& service) const
 {
@@ -165,6 +175,8 @@
     m_isIndexOutdated = false;
     std::map<address, const entry*> newestByAddress;
     for (const auto& [id, stored] : m_entries) {
+        if (!hasService(stored.record.service))
+            continue;
         auto& newest = newestByAddress[stored.record.target];
         if (!newest || newest->record.startedAtMs <= stored.record.startedAtMs)
             newest = &stored;
--- a/policy/instance_directory.h
+++ b/policy/instance_directory.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -60,6 +61,14 @@
     /// Removes entries that are still missing after the grace period for registering again.
     void tick(milliseconds now);
 
+    /// Sets the services that exist. Entries of other services are kept but count as no instance: they may
+    /// come from another writer, and must not hide an instance that has the same address.
+    /// @param services names of the services; if empty, all services exist.
+    void setServices(std::set<std::string> services);
+
+    /// @return whether a service exists.
+    bool hasService(const std::string& service) const;
+
     /// @return the instances of a service, including draining ones. If several entries have the same address,
     /// only the most recently started one is included: the others have ended, but their entries have not
     /// expired yet.
@@ -87,6 +96,7 @@
     };
 
     change_hook m_onChange;
+    std::set<std::string> m_services;
     std::map<std::string, entry> m_entries;
     std::map<std::string, leaving_start> m_leavingStarts; ///< Announced by the instances, by id.
     /// Rebuilt on demand, so that a large listing builds it only once.
--- a/tests/mesh/mesh_node_test.cpp
+++ b/tests/mesh/mesh_node_test.cpp
@@ -283,6 +283,22 @@
     LONGS_EQUAL(1, staleCount);
 }
 
+// Another writer left an entry with the address of an instance and a service that the rules don't name.
+TEST(mesh_node, anEntryOfAnUnknownServiceHidesNoInstance)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& only = mesh.addVm("i-2", "orders");
+    mesh.publishInstances();
+    mesh.publishRules(test_mesh::makeRules("orders", false));
+    auto foreign = test_mesh::makeRecord(only);
+    foreign.id = "foreign";
+    foreign.service = "nowhere";
+    foreign.startedAtMs = 1700000000123;
+    entry.node->updateInstance(foreign);
+    only.node->updateInstance(foreign);
+    LONGS_EQUAL(200, mesh.await(mesh.send(entry, "id-1")).head.status);
+}
+
 TEST(mesh_node, retriesElsewhereIfTheInstanceIsDown)
 {
     auto& entry = mesh.addVm("i-1", "front");
--- a/tests/mesh/test_mesh.cpp
+++ b/tests/mesh/test_mesh.cpp
@@ -89,19 +89,23 @@
     CHECK(entry.node->start());
 }
 
+instance_record test_mesh::makeRecord(const vm& entry)
+{
+    instance_record record;
+    record.id = entry.id;
+    record.service = entry.service;
+    record.target = { entry.host, targetPort };
+    record.zone = entry.zone;
+    record.slots = entry.slots;
+    record.isDraining = entry.isDraining;
+    return record;
+}
+
 void test_mesh::publishInstances()
 {
     std::vector<instance_record> listed;
-    for (const auto& member : m_vms) {
-        instance_record record;
-        record.id = member->id;
-        record.service = member->service;
-        record.target = { member->host, targetPort };
-        record.zone = member->zone;
-        record.slots = member->slots;
-        record.isDraining = member->isDraining;
-        listed.push_back(record);
-    }
+    for (const auto& member : m_vms)
+        listed.push_back(makeRecord(*member));
     for (const auto& member : m_vms)
         member->node->setInstances(listed);
 }
--- a/tests/mesh/test_mesh.h
+++ b/tests/mesh/test_mesh.h
@@ -50,6 +50,9 @@
     /// Replaces the node of a VM by one that knows nothing.
     void restartNode(vm& entry);
 
+    /// @return the entry of a VM's instance.
+    static fuchsiagauge::instance_record makeRecord(const vm& entry);
+
     /// Sends the list of all instances to every node.
     void publishInstances();
 
--- a/tests/policy/instance_directory_test.cpp
+++ b/tests/policy/instance_directory_test.cpp
@@ -118,3 +118,17 @@
     directory.put(record, now + milliseconds(40000));
     CHECK_FALSE(directory.find("one")->isLeaving());
 }
+
+// Another writer left an entry with the address of an instance and a service that doesn't exist.
+TEST(instance_directory, anEntryOfAnUnknownServiceHidesNoInstance)
+{
+    auto foreign = make("foreign");
+    foreign.service = "nowhere";
+    foreign.startedAtMs = 1700000000123;
+    directory.applyListing({ make("one"), foreign }, now);
+    directory.setServices({ "orders" });
+    CHECK_EQUAL(1U, directory.findService("orders").size());
+    CHECK(directory.findService("nowhere").empty());
+    directory.setServices({ "nowhere" });
+    CHECK_EQUAL(1U, directory.findService("nowhere").size());
+}
