core, mesh: Format the time until a retry also after the deadline

What callers could see: the process ends, and with it all it holds.

Cause: the pause that a shed request is told is a share of its remaining time. Read over 0.3 s after the deadline, as after a freeze, it is below -0.1 s, and the text for the fraction then has more than three characters: the padding throws, and nothing catches it. Above -0.1 s the text was `0.0-5`.

Not shown on a whole process.

--- a/core/text_fields.cpp
+++ b/core/text_fields.cpp
@@ -1,5 +1,8 @@
 #include "core/text_fields.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace fuchsiagauge {
 
 std::vector<std::string_view> splitFields(std::string_view text, char separator)
@@ -30,4 +33,14 @@
         && text.find_first_not_of(allowed) == std::string_view::npos;
 }
 
+std::string formatSeconds(double seconds)
+{
+    constexpr double millisecondsPerSecond = 1000;
+    constexpr std::size_t decimals = 3;
+    auto digits = std::to_string(std::llround(std::max(seconds, 0.0) * millisecondsPerSecond));
+    if (digits.size() <= decimals)
+        digits.insert(0, decimals + 1 - digits.size(), '0');
+    return digits.insert(digits.size() - decimals, 1, '.');
+}
+
 } // namespace fuchsiagauge
--- a/core/text_fields.h
+++ b/core/text_fields.h
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <cstddef>
+#include <string>
 #include <string_view>
 #include <system_error>
 #include <vector>
@@ -18,6 +19,10 @@
 /// @return whether `text` is a valid name: 1 to 64 letters, digits, `_`, `-` or `.`.
 bool isValidName(std::string_view text);
 
+/// @param seconds a duration; below 0 it counts as 0.
+/// @return the duration in decimal notation, with three decimals.
+std::string formatSeconds(double seconds);
+
 /// Parses a decimal integer. The text must contain nothing else.
 /// @param text the text to parse.
 /// @param minimum smallest accepted value.
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -1,5 +1,7 @@
 #include "mesh/outbound_call.h"
 
+#include "core/text_fields.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -52,15 +54,6 @@
         return health_signal::Failure;
     }
 
-    std::string formatSeconds(double seconds)
-    {
-        constexpr int millisecondsPerSecond = 1000;
-        const auto count = static_cast<int>(seconds * millisecondsPerSecond);
-        auto fraction = std::to_string(count % millisecondsPerSecond);
-        fraction.insert(0, 3 - fraction.size(), '0');
-        return std::to_string(count / millisecondsPerSecond) + '.' + fraction;
-    }
-
 } // namespace
 
 outbound_call::outbound_call(mesh_context& context, std::shared_ptr<incoming_call> incoming)
