mesh: Forward no refusal that does not state that the request has not run

What callers could see (REFUSED, then TWICE by their own retry): an instance answers an order with 408, 429 or 503 but without `Not-Run`, as at the end of a run that failed, or in a damaged copy of a refusal. The node passed the status on, and clients take it for the promise that the order has not run.

Cause: only the header tells the node that a request has not run; the status was passed on unchanged beside it.

Change: for requests that must run once, such a response ends as 502 without the instance's stamp, like a lost one. For others nothing changes.

Shown: forwardsNoRefusalThatDoesNotStateThatTheRequestHasNotRun got 408 before, 502 now.

--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -16,6 +16,8 @@
     /// calls one after the other.
     constexpr double callSlackShare = 0.2;
     constexpr int notFoundStatus = 404;
+    constexpr int requestTimeoutStatus = 408;
+    constexpr int tooManyRequestsStatus = 429;
     constexpr int unavailableStatus = 503;
     constexpr int badGatewayStatus = 502;
     constexpr int gatewayTimeoutStatus = 504;
@@ -54,6 +56,13 @@
         return health_signal::Failure;
     }
 
+    /// @return whether clients take a status as the promise that the request has not run.
+    bool promisesNotRun(int status)
+    {
+        return status == requestTimeoutStatus || status == tooManyRequestsStatus
+            || status == unavailableStatus;
+    }
+
 } // namespace
 
 outbound_call::outbound_call(mesh_context& context, std::shared_ptr<incoming_call> incoming)
@@ -279,6 +288,13 @@
     if (m_isEnded)
         return;
     const bool isAnswered = result.outcome == attempt_outcome::Answered;
+    if (isAnswered && !m_route->isIdempotent && promisesNotRun(result.head.status)) {
+        attempt_result unconfirmed;
+        unconfirmed.detail = "the instance refused the request without stating that it has not run";
+        m_possibleRunResult = unconfirmed;
+        finish(unconfirmed);
+        return;
+    }
     if (isAnswered && result.head.status < firstServerErrorStatus) {
         respond(result);
         return;
--- a/tests/mesh/mesh_node_test.cpp
+++ b/tests/mesh/mesh_node_test.cpp
@@ -181,6 +181,23 @@
     LONGS_EQUAL(502, mesh.await(mesh.send(entry, "id-1")).head.status);
 }
 
+// Clients send a request again after these statuses. Only an instance that says so has not run it.
+TEST(mesh_node, forwardsNoRefusalThatDoesNotStateThatTheRequestHasNotRun)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& only = mesh.addVm("i-2", "orders");
+    mesh.publishInstances();
+    mesh.publishRules(test_mesh::makeRules("orders", false));
+    int sent = 0;
+    for (const int status : { 408, 429, 503 }) {
+        only.handler = test_mesh::makeRespondingHandler(status, { { "Server-Stamp", "s" } });
+        const auto& response = mesh.await(mesh.send(entry, "id-" + std::to_string(++sent)));
+        LONGS_EQUAL(502, response.head.status);
+        CHECK(response.head.fields.find("Server-Stamp") == nullptr);
+        CHECK_EQUAL(static_cast<std::size_t>(sent), only.received.size());
+    }
+}
+
 TEST(mesh_node, retriesARejectedNonIdempotentRequestOnAnotherInstance)
 {
     auto& entry = mesh.addVm("i-1", "front");
