mesh: Keep a request at an unresponsive instance until another one answers

Cause: an instance that has answered nothing for some run times counts as unresponsive. An idempotent request was cancelled there before it was known whether another instance takes it, and when that one refused, the time-out made up for the first attempt was the answer.

Change: the attempt stays open while others are tried. The first success is the answer, and the other attempts are cancelled. If no other instance takes the request, the node waits for the first one until the request expires. A failure that another instance gives itself ends the request as before.

Why it works: leaving an instance costs nothing before its replacement has answered, so a wrong guess about it loses nothing. Sends are counted as before: no further instance is asked than was before.

--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -133,7 +133,7 @@
         attempt_result expired;
         expired.outcome = attempt_outcome::NoRoom;
         expired.detail = "not enough time left for an attempt";
-        finish(expired);
+        endAttempts(expired);
         return;
     }
     const auto* chosen = chooseInstance(now);
@@ -141,7 +141,7 @@
         attempt_result noInstance;
         noInstance.outcome = attempt_outcome::Unreachable;
         noInstance.detail = getLastError().detail;
-        finish(noInstance);
+        endAttempts(noInstance);
         return;
     }
     sendAttempt(*chosen);
@@ -174,10 +174,9 @@
 {
     const auto now = m_context.time.now();
     m_instance = chosen.record.id;
-    m_instanceStartedAtMs = chosen.record.startedAtMs;
+    const auto number = ++m_attemptCount;
+    m_attempt = attempt { number, m_instance, chosen.record.startedAtMs, now, {}, 0, false };
     m_history.onSend(m_instance);
-    m_hasOpenAttempt = true;
-    m_sentAt = now;
     m_context.picker.onSend(m_instance, now);
     peer_call call;
     call.priority = m_parent ? m_parent->priority : m_route->priority;
@@ -192,18 +191,17 @@
     call.callerService = m_context.config.service;
     call.requestId = m_clientInfo.requestId;
     recordSpillover(chosen);
-    if (chosen.record.target == m_context.config.target) {
-        const auto self = shared_from_this();
-        const auto runId
-            = m_context.target.run(m_incoming->getRequest(), call, [self](const attempt_result& result) {
-                  self->m_localRunId = 0;
-                  self->onAttemptEnd(result);
-              });
-        if (m_hasOpenAttempt && m_instance == call.instance)
-            m_localRunId = runId;
+    if (chosen.record.target != m_context.config.target) {
+        sendToPeer(chosen, call);
         return;
     }
-    sendToPeer(chosen, call);
+    const auto runId = m_context.target.run(
+        m_incoming->getRequest(), call, [self = shared_from_this(), number](const attempt_result& result) {
+            self->onAttemptEnd(number, result);
+        });
+    // The attempt may have ended before run() has returned.
+    if (m_attempt && m_attempt->number == number)
+        m_attempt->localRunId = runId;
 }
 
 retry_kind outbound_call::getRetryKind() const
@@ -238,10 +236,9 @@
         outgoing.request.fields.add(peer_header::rateLimit, formatRateLimit(*call.rateLimit));
     outgoing.expiresAt = m_expiresAt;
     const address peer { chosen.record.target.host, m_context.config.peersListener.port };
-    m_peerRequest = m_context.peerPools.get(peer).send(
-        std::move(outgoing), [self = shared_from_this()](outgoing_result result) {
-            self->m_peerRequest = {};
-            self->onAttemptEnd(self->readPeerResult(std::move(result)));
+    m_attempt->peerRequest = m_context.peerPools.get(peer).send(
+        std::move(outgoing), [self = shared_from_this(), number = m_attempt->number](outgoing_result result) {
+            self->onAttemptEnd(number, self->readPeerResult(std::move(result)));
         });
 }
 
@@ -281,12 +278,18 @@
     return result;
 }
 
-void outbound_call::onAttemptEnd(const attempt_result& result)
+void outbound_call::onAttemptEnd(std::uint64_t number, const attempt_result& result)
 {
-    m_hasOpenAttempt = false;
-    recordAttempt(result);
+    const bool isLatest = m_attempt && m_attempt->number == number;
+    auto& open = isLatest ? m_attempt : m_unresponsiveAttempt;
+    if (!open || open->number != number)
+        return;
+    auto ended = std::move(*open);
+    open.reset();
+    recordAttempt(ended, result);
     if (m_isEnded)
         return;
+    m_instance = ended.instance;
     const bool isAnswered = result.outcome == attempt_outcome::Answered;
     if (isAnswered && !m_route->isIdempotent && promisesNotRun(result.head.status)) {
         attempt_result unconfirmed;
@@ -296,15 +299,32 @@
         return;
     }
     if (isAnswered && result.head.status < firstServerErrorStatus) {
+        cancelAttempt(m_unresponsiveAttempt, health_signal::TimedOut);
+        cancelAttempt(m_attempt, health_signal::Cancelled);
         respond(result);
         return;
     }
     if (!hasNotRun(result.outcome))
         m_possibleRunResult = result;
-    if (prepareRetry(result))
+    if (m_attempt)
+        return;
+    if (prepareRetry(ended, result))
         startAttempt();
     else
-        finish(result);
+        endAttempts(result);
+}
+
+/// Ends the request, unless its first instance may still respond and no other one has.
+void outbound_call::endAttempts(const attempt_result& last)
+{
+    if (!m_unresponsiveAttempt || last.outcome == attempt_outcome::Answered) {
+        cancelAttempt(m_unresponsiveAttempt, health_signal::TimedOut);
+        finish(last);
+        return;
+    }
+    m_attempt = std::move(m_unresponsiveAttempt);
+    m_unresponsiveAttempt.reset();
+    m_instance = m_attempt->instance;
 }
 
 /// Ends the request after its last attempt. If the last attempt did not run the request but an earlier one
@@ -318,50 +338,52 @@
         failRequest(finalResult);
 }
 
-void outbound_call::recordAttempt(const attempt_result& result)
+void outbound_call::recordAttempt(const attempt& ended, const attempt_result& result)
 {
     const auto now = m_context.time.now();
     if (result.hasLoad)
-        m_context.picker.onReport(m_instance, now, result.load);
+        m_context.picker.onReport(ended.instance, now, result.load);
     if (result.isInstanceLeaving)
-        m_context.directory.markLeaving(m_instance, m_instanceStartedAtMs, now);
+        m_context.directory.markLeaving(ended.instance, ended.instanceStartedAtMs, now);
     const auto signal = getHealthSignal(result);
-    m_context.picker.onEnd(m_instance, now, signal);
+    m_context.picker.onEnd(ended.instance, now, signal);
     const bool hasFreeSlots
         = result.hasLoad && result.load.waiting == 0 && result.load.busy < result.load.slots;
     if (signal == health_signal::Success && hasFreeSlots)
-        m_context.picker.onRunTime(m_instance, m_route->name, now - m_sentAt);
+        m_context.picker.onRunTime(ended.instance, m_route->name, now - ended.sentAt);
     const bool isAvoided = signal == health_signal::Unreachable || signal == health_signal::Leaving
         || signal == health_signal::Misdirected;
     if (isAvoided) {
         m_context.log.write(event_kind::InstanceAvoided, m_clientInfo.requestId,
-            { { "instance", m_instance }, { "reason", std::string(getAttemptOutcomeName(result.outcome)) },
+            { { "instance", ended.instance },
+                { "reason", std::string(getAttemptOutcomeName(result.outcome)) },
                 { "detail", result.detail } });
     }
-    m_context.counters.countAttempt(m_instance, result.outcome);
+    m_context.counters.countAttempt(ended.instance, result.outcome);
     if (signal == health_signal::Misdirected && m_context.onStaleInstance)
         m_context.onStaleInstance();
 }
 
 /// Decides whether another attempt follows, and records the retry. The fleet-wide retry budget is not checked
 /// here but by the node of the next instance.
-bool outbound_call::prepareRetry(const attempt_result& result)
+bool outbound_call::prepareRetry(attempt& ended, const attempt_result& result)
 {
-    m_history.onEnd(result.outcome);
+    if (!std::exchange(ended.isInHistory, true))
+        m_history.onEnd(result.outcome);
     const bool hasTime = m_expiresAt - m_context.time.now() >= minAttemptTime;
     if (!hasTime || !m_history.mayRetry(result.outcome, result.downstreamFailure))
         return false;
     if (isReceivedByInstance(result.outcome))
-        recordRetry(result);
+        recordRetry(ended, result);
     return true;
 }
 
-void outbound_call::recordRetry(const attempt_result& result)
+void outbound_call::recordRetry(const attempt& ended, const attempt_result& result)
 {
     m_context.counters.retries.add();
     const int status = result.outcome == attempt_outcome::Answered ? result.head.status : 0;
     m_context.log.write(event_kind::RequestRepeated, m_clientInfo.requestId,
-        { { "route", m_route->name }, { "instance", m_instance },
+        { { "route", m_route->name }, { "instance", ended.instance },
             { "outcome", std::string(getAttemptOutcomeName(result.outcome)) },
             { "status", static_cast<double>(status) }, { "detail", result.detail } });
 }
@@ -465,37 +487,38 @@
     attempt_result expired;
     expired.outcome = attempt_outcome::TimedOut;
     expired.detail = "the request timed out";
-    if (cancelAttempt(health_signal::TimedOut))
+    if (cancelAttempts(health_signal::TimedOut))
         m_possibleRunResult = expired;
     failRequest(expired);
 }
 
-/// Retries an idempotent request on another instance if its current instance has stopped responding.
+/// Tries another instance with an idempotent request whose current instance has stopped responding. The
+/// attempt there stays open until another one has answered.
 void outbound_call::failOverFromUnresponsiveInstance(milliseconds now)
 {
-    if (!m_hasOpenAttempt || !m_route->isIdempotent
-        || !m_context.picker.isUnresponsive(m_instance, now, m_sentAt))
+    if (!m_attempt || m_unresponsiveAttempt || !m_route->isIdempotent
+        || !m_context.picker.isUnresponsive(m_attempt->instance, now, m_attempt->sentAt))
         return;
     if (!m_context.picker.hasHealthyCandidate(now, makePickRequest(now), m_context.directory))
         return;
     attempt_result timedOut;
     timedOut.outcome = attempt_outcome::TimedOut;
     timedOut.detail = "the instance or its node has stopped responding";
-    if (!prepareRetry(timedOut))
+    if (!prepareRetry(*m_attempt, timedOut))
         return;
-    cancelAttempt(health_signal::TimedOut);
-    m_context.counters.countAttempt(m_instance, timedOut.outcome);
     m_possibleRunResult = timedOut;
+    m_unresponsiveAttempt = std::move(m_attempt);
+    m_attempt.reset();
     startAttempt();
 }
 
-/// Cancels the current attempt after the client has disconnected.
+/// Cancels the open attempts after the client has disconnected.
 void outbound_call::onClientDisconnect()
 {
     if (m_isEnded)
         return;
     const auto now = m_context.time.now();
-    cancelAttempt(health_signal::Cancelled);
+    cancelAttempts(health_signal::Cancelled);
     const auto latency = now - m_incoming->getArrivalTime();
     m_context.counters.countRequest(m_route ? m_route->name : std::string(), 0, "client-left", latency, now);
     m_context.log.write(event_kind::RequestCancelled, m_clientInfo.requestId,
@@ -504,20 +527,30 @@
     markEnded();
 }
 
-/// Cancels the current attempt, if there is one.
+/// Cancels an attempt if it is open.
 /// @return whether an instance may have seen the request.
-bool outbound_call::cancelAttempt(health_signal signal)
+bool outbound_call::cancelAttempt(std::optional<attempt>& cancelled, health_signal signal)
 {
-    if (!m_hasOpenAttempt)
+    if (!cancelled)
         return false;
-    m_hasOpenAttempt = false;
-    m_context.picker.onEnd(m_instance, m_context.time.now(), signal);
-    if (m_localRunId != 0)
-        return m_context.target.cancel(m_localRunId);
-    pooled_http_client::cancel(m_peerRequest);
+    const auto ended = std::move(*cancelled);
+    cancelled.reset();
+    m_context.picker.onEnd(ended.instance, m_context.time.now(), signal);
+    if (signal == health_signal::TimedOut)
+        m_context.counters.countAttempt(ended.instance, attempt_outcome::TimedOut);
+    if (ended.localRunId != 0)
+        return m_context.target.cancel(ended.localRunId);
+    pooled_http_client::cancel(ended.peerRequest);
     return true;
 }
 
+/// @return whether an instance may have seen the request.
+bool outbound_call::cancelAttempts(health_signal signal)
+{
+    const bool mayHaveBeenSeen = cancelAttempt(m_unresponsiveAttempt, signal);
+    return cancelAttempt(m_attempt, signal) || mayHaveBeenSeen;
+}
+
 void outbound_call::markEnded() { m_isEnded = true; }
 
 } // namespace fuchsiagauge
--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -36,6 +36,17 @@
     bool isEnded() const { return m_isEnded; }
 
 private:
+    /// One send of the request to an instance, until it ends.
+    struct attempt {
+        std::uint64_t number = 0; ///< Tells the attempts of this request apart.
+        std::string instance;
+        std::uint64_t instanceStartedAtMs = 0; ///< Tells the starts of the instance apart.
+        milliseconds sentAt;
+        pooled_http_client::handle peerRequest; ///< The request to the peer node, to cancel it.
+        std::uint64_t localRunId = 0; ///< Id for local_target::cancel(); 0 if it does not run there.
+        bool isInHistory = false; ///< `m_history` knows that the instance has received the request.
+    };
+
     bool selectRoute();
     void inheritFromParent();
     void recordDownstreamFailure(downstream_failure failure);
@@ -47,18 +58,20 @@
     void recordSpillover(const instance_directory::entry& chosen);
     void sendToPeer(const instance_directory::entry& chosen, const peer_call& call);
     attempt_result readPeerResult(outgoing_result outgoing) const;
-    void onAttemptEnd(const attempt_result& result);
-    void recordAttempt(const attempt_result& result);
+    void onAttemptEnd(std::uint64_t number, const attempt_result& result);
+    void recordAttempt(const attempt& ended, const attempt_result& result);
     retry_kind getRetryKind() const;
-    bool prepareRetry(const attempt_result& result);
-    void recordRetry(const attempt_result& result);
+    bool prepareRetry(attempt& ended, const attempt_result& result);
+    void recordRetry(const attempt& ended, const attempt_result& result);
+    void endAttempts(const attempt_result& last);
     void finish(const attempt_result& last);
     void respond(const attempt_result& result);
     void failRequest(const attempt_result& last);
     void respondWithError(
         int status, const std::string& reason, const std::string& detail, std::optional<double> retryAfterS);
     void onClientDisconnect();
-    bool cancelAttempt(health_signal signal);
+    bool cancelAttempt(std::optional<attempt>& cancelled, health_signal signal);
+    bool cancelAttempts(health_signal signal);
     void failOverFromUnresponsiveInstance(milliseconds now);
     void markEnded();
     milliseconds getStartDeadline() const;
@@ -75,12 +88,12 @@
     std::string m_service;
     milliseconds m_expiresAt;
     attempt_history m_history { 1, false };
-    std::string m_instance; ///< Instance of the current or last attempt.
-    std::uint64_t m_instanceStartedAtMs = 0; ///< Tells the starts of `m_instance` apart.
-    milliseconds m_sentAt; ///< When the current or last attempt was sent.
-    pooled_http_client::handle m_peerRequest; ///< The request to the peer node, to cancel it.
-    std::uint64_t m_localRunId = 0; ///< Id for local_target::cancel(); 0 if no attempt runs there.
-    bool m_hasOpenAttempt = false;
+    std::optional<attempt> m_attempt; ///< The latest attempt while it is open.
+    /// An attempt at an instance that has stopped responding. It stays open while another instance is tried,
+    /// as that one may refuse the request.
+    std::optional<attempt> m_unresponsiveAttempt;
+    std::uint64_t m_attemptCount = 0;
+    std::string m_instance; ///< Instance of the attempt that was sent or that ended last.
     /// Result of the last attempt that may have run the request.
     std::optional<attempt_result> m_possibleRunResult;
     bool m_isEnded = false;
--- a/tests/mesh/mesh_node_test.cpp
+++ b/tests/mesh/mesh_node_test.cpp
@@ -371,6 +371,43 @@
     mesh.runUntil([&] { return unresponsive.held.at(0)->isEnded(); });
 }
 
+// An instance works on a request for long without answering others. When no other instance takes the request,
+// the first one must be allowed to complete it.
+TEST(mesh_node, keepsAnUnresponsiveAttemptOpenIfNoOtherInstanceTakesTheRequest)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& slow = mesh.addVm("i-2", "orders", "a");
+    auto& full = mesh.addVm("i-3", "orders", "b");
+    mesh.publishInstances();
+    mesh.publishRules(test_mesh::makeRules("orders", true));
+    LONGS_EQUAL(200, mesh.await(mesh.send(entry, "id-0")).head.status);
+    slow.handler = test_mesh::makeHoldingHandler(slow);
+    full.handler = test_mesh::makeRespondingHandler(503, { { "Not-Run", "1" }, { "Server-Load", "2,1,2" } });
+    const auto client = mesh.send(entry, "id-1");
+    mesh.runUntil([&] { return full.received.size() == 1; });
+    CHECK_FALSE(slow.held.at(0)->isEnded());
+    test_mesh::makeRespondingHandler(200)(slow.held[0]);
+    LONGS_EQUAL(200, mesh.await(client).head.status);
+}
+
+// The instance that had stopped responding answers before the one that was tried next.
+TEST(mesh_node, usesTheFirstAnswerOfTwoOpenAttempts)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& slow = mesh.addVm("i-2", "orders", "a");
+    auto& other = mesh.addVm("i-3", "orders", "b");
+    mesh.publishInstances();
+    mesh.publishRules(test_mesh::makeRules("orders", true));
+    LONGS_EQUAL(200, mesh.await(mesh.send(entry, "id-0")).head.status);
+    slow.handler = test_mesh::makeHoldingHandler(slow);
+    other.handler = test_mesh::makeHoldingHandler(other);
+    const auto client = mesh.send(entry, "id-1");
+    mesh.runUntil([&] { return other.held.size() == 1; });
+    test_mesh::makeRespondingHandler(200)(slow.held.at(0));
+    LONGS_EQUAL(200, mesh.await(client).head.status);
+    mesh.runUntil([&] { return other.held.at(0)->isEnded(); });
+}
+
 TEST(mesh_node, doesNotFailOverANonIdempotentRequestFromAnUnresponsiveInstance)
 {
     auto& entry = mesh.addVm("i-1", "front");
