transport: Notice when a client leaves a connection that is not kept

Cause: no request follows on such a connection, so the server stopped reading from it, and the end of the connection was never seen.

Change: the server reads on and discards what comes, until the connection ends.

Shown: notifiesACallWhoseClientDisconnectsFromAConnectionThatIsNotKept (with `Connection: close`, HTTP/1.0 and further bytes) failed before and passes.

--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -111,6 +111,23 @@
     calls[0]->respond(makeHead(200), "too late");
 }
 
+// No request follows on such a connection, but its end still tells that the client has left.
+TEST(http_server, notifiesACallWhoseClientDisconnectsFromAConnectionThatIsNotKept)
+{
+    for (const std::string request : { "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+             "GET /1 HTTP/1.0\r\n\r\n", "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\nmore" }) {
+        calls.clear();
+        tcp::socket leaving(io);
+        leaving.connect(client.remote_endpoint());
+        asio::write(leaving, asio::buffer(request));
+        runUntil([&] { return calls.size() == 1; });
+        bool isDisconnected = false;
+        calls[0]->setDisconnectHook([&] { isDisconnected = true; });
+        leaving.close();
+        runUntil([&] { return isDisconnected; });
+    }
+}
+
 TEST(http_server, aDroppedCallClosesTheConnectionWithoutAResponse)
 {
     sendBytes("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -104,6 +104,7 @@
         void shutDownSending()
         {
             m_hasStoppedReading = true;
+            m_isShutDown = true;
             boost::system::error_code code;
             m_socket.shutdown(tcp::socket::shutdown_send, code);
             if (m_isReading)
@@ -139,9 +140,10 @@
 
         void read()
         {
-            if (m_isReading || m_isClosed || m_hasStoppedReading)
+            if (m_isReading || m_isClosed)
                 return;
-            if (m_calls.size() >= maxPipelinedRequests || m_unsent.size() > maxUnsentBytes)
+            const bool isFull = m_calls.size() >= maxPipelinedRequests || m_unsent.size() > maxUnsentBytes;
+            if (isFull && !m_hasStoppedReading)
                 return;
             m_isReading = true;
             m_socket.async_read_some(asio::buffer(m_readBuffer),
@@ -159,6 +161,14 @@
                 close();
                 return;
             }
+            if (m_hasStoppedReading) {
+                // Reads on only to notice when the client disconnects.
+                if (m_isShutDown)
+                    close();
+                else
+                    read();
+                return;
+            }
             m_lastActiveAt = m_owner->time.now();
             if (m_unparsed.empty()) {
                 const auto used = parse(m_readBuffer.data(), count);
@@ -357,6 +367,8 @@
         bool m_isReading = false;
         bool m_isResumePosted = false;
         bool m_hasStoppedReading = false; ///< No further requests are read from this connection.
+        bool m_isShutDown
+            = false; ///< Nothing more is sent; the connection ends with the client's next bytes.
         bool m_closesAfterSend = false;
         bool m_isClosed = false;
     };
