transport: Apply changed limits to the next request of a kept connection

Cause: the parser of a connection's next request took the limits of the moment at which the request before had been read.

Change: when the limits change, connections on which nothing of the next request has arrived get a parser with the new ones.

Shown: changedLimitsApplyToTheNextRequestOfAKeptConnection failed before (the larger body got 413) and passes, for raised and for lowered limits.

--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -152,6 +152,28 @@
 }
 
 // Guards against request smuggling: servers may disagree on where a request with both headers ends.
+// A client sends its next request on a connection that it has kept since before the limits changed.
+TEST(http_server, changedLimitsApplyToTheNextRequestOfAKeptConnection)
+{
+    client_limits limits;
+    limits.bodyBytes = 4;
+    server.setLimits(limits);
+    sendBytes("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    runUntil([&] { return calls.size() == 1; });
+    calls[0]->respond(makeHead(200), "first.");
+    runUntil([&] { return hasReceived("first."); });
+    limits.bodyBytes = 5;
+    server.setLimits(limits);
+    sendBytes("POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nabcde");
+    runUntil([&] { return calls.size() == 2; });
+    calls[1]->respond(makeHead(200), "second");
+    runUntil([&] { return hasReceived("second"); });
+    limits.bodyBytes = 4;
+    server.setLimits(limits);
+    sendBytes("POST /3 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nabcde");
+    runUntil([&] { return hasReceived("413"); });
+}
+
 TEST(http_server, rejectsContentLengthTogetherWithChunkedEncoding)
 {
     sendBytes(
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -93,6 +93,13 @@
                 close();
         }
 
+        /// Applies changed limits to the next request, unless a part of it has arrived.
+        void applyLimits()
+        {
+            if (!m_parser->got_some() && m_unparsed.empty())
+                resetParser();
+        }
+
         /// @return whether no request is in progress or partly received and no response partly sent.
         bool isQuiet() const
         {
@@ -438,7 +445,12 @@
     return address { local.host, acceptor.local_endpoint(code).port() };
 }
 
-void http_server::setLimits(const client_limits& limits) { m_state->limits = limits; }
+void http_server::setLimits(const client_limits& limits)
+{
+    m_state->limits = limits;
+    for (const auto& entry : m_state->connections)
+        entry->applyLimits();
+}
 
 void http_server::beginClosing() { m_state->isClosing = true; }
 
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -39,7 +39,7 @@
     std::optional<address> open(const address& local);
 
     /// Sets the limits on clients. On open connections, the size limits apply after the message that is
-    /// currently being received or expected.
+    /// currently being received.
     void setLimits(const client_limits& limits);
 
     /// Closes each connection from now on after its next response, once no further request is in progress on
