transport, mesh: Wait for clients that pause while they read

Cause: TCP_USER_TIMEOUT of 3 s, which ends connections to machines that are gone, was set on the connections of clients too. Linux applies it to a remote side that acknowledges window probes but has no room.

Change: on connections of clients it is 30 s. Clients run on the node's VM, so the end of a client closes its connection. Connections to instances, peers and the store keep 3 s.

Shown: waitsForAClientThatPausesWhileItReads (a pause of 5 s) fails with the timeout of 3 s and passes with the new one.

--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -166,6 +166,10 @@
     peerLimits.headerBytes = peerHeaderBytes;
     peerLimits.bodyBytes = peerBodyBytes;
     peerLimits.idleTimeout = peerIdleTimeout;
+    // Clients may read slowly. They run on this VM, so none is unreachable without its connection being
+    // closed.
+    constexpr milliseconds clientSendTimeout { 30000 };
+    callersServer.setSendTimeout(clientSendTimeout);
     peersServer.setLimits(peerLimits);
 }
 
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -234,6 +234,30 @@
     runUntil([&] { return server.isDrained(); });
 }
 
+// A client pauses in the middle of its response for longer than an unresponsive connection is kept.
+TEST(http_server, waitsForAClientThatPausesWhileItReads)
+{
+    constexpr std::size_t largerThanSocketBuffers = 8388608;
+    constexpr std::chrono::seconds pause { 5 };
+    server.setSendTimeout(milliseconds(30000));
+    tcp::socket slow(io, tcp::v4());
+    slow.set_option(asio::socket_base::receive_buffer_size(65536));
+    slow.connect(client.remote_endpoint());
+    asio::write(slow, asio::buffer(std::string("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")));
+    runUntil([&] { return calls.size() == 1; });
+    calls[0]->respond(makeHead(200), std::string(largerThanSocketBuffers, 'x'));
+    io.run_for(pause);
+    slow.non_blocking(true);
+    std::vector<char> buffer(largerThanSocketBuffers);
+    std::size_t count = 0;
+    boost::system::error_code code;
+    runUntil([&] {
+        count += slow.read_some(asio::buffer(buffer), code);
+        return count > largerThanSocketBuffers || (code && code != asio::error::would_block);
+    });
+    CHECK(count > largerThanSocketBuffers);
+}
+
 TEST(http_server, isNotDrainedWhileARequestIsPartlyReceived)
 {
     CHECK(server.isDrained());
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -57,6 +57,7 @@
     std::size_t maxConnections;
     call_hook onCall;
     client_limits limits;
+    milliseconds sendTimeout = defaultSendTimeout;
     bool isClosing = false;
     std::size_t openCallCount = 0;
     std::unordered_set<std::shared_ptr<connection>> connections;
@@ -77,7 +78,7 @@
 
         void start()
         {
-            configureSocket(m_socket);
+            configureSocket(m_socket, m_owner->sendTimeout);
             read();
         }
 
@@ -452,6 +453,8 @@
         entry->applyLimits();
 }
 
+void http_server::setSendTimeout(milliseconds timeout) { m_state->sendTimeout = timeout; }
+
 void http_server::beginClosing() { m_state->isClosing = true; }
 
 void http_server::tick()
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -42,6 +42,10 @@
     /// currently being received.
     void setLimits(const client_limits& limits);
 
+    /// Sets how long a client of a new connection may read nothing of its response before the connection
+    /// fails.
+    void setSendTimeout(milliseconds timeout);
+
     /// Closes each connection from now on after its next response, once no further request is in progress on
     /// it.
     void beginClosing();
--- a/transport/socket_options.cpp
+++ b/transport/socket_options.cpp
@@ -7,12 +7,10 @@
 namespace fuchsiagauge {
 namespace {
 
-    // An unresponsive connection is closed within three seconds, the shortest time in which the platform
-    // expects a node to work around a lost connection.
+    // An unresponsive idle connection is closed within three seconds; see defaultSendTimeout.
     constexpr int keepAliveIdleS = 1;
     constexpr int keepAliveIntervalS = 1;
     constexpr int keepAliveProbes = 2;
-    constexpr int userTimeoutMs = 3000;
 
     void setTcpOption(int descriptor, int name, int value)
     {
@@ -21,7 +19,7 @@
 
 } // namespace
 
-void configureSocket(boost::asio::ip::tcp::socket& socket)
+void configureSocket(boost::asio::ip::tcp::socket& socket, milliseconds sendTimeout)
 {
     boost::system::error_code code;
     socket.non_blocking(true, code);
@@ -30,7 +28,7 @@
     setTcpOption(socket.native_handle(), TCP_KEEPIDLE, keepAliveIdleS);
     setTcpOption(socket.native_handle(), TCP_KEEPINTVL, keepAliveIntervalS);
     setTcpOption(socket.native_handle(), TCP_KEEPCNT, keepAliveProbes);
-    setTcpOption(socket.native_handle(), TCP_USER_TIMEOUT, userTimeoutMs);
+    setTcpOption(socket.native_handle(), TCP_USER_TIMEOUT, static_cast<int>(sendTimeout.getCount()));
 }
 
 std::size_t writeNonBlocking(
--- a/transport/socket_options.h
+++ b/transport/socket_options.h
@@ -1,13 +1,20 @@
 #pragma once
 
+#include "core/clock.h"
+
 #include <boost/asio/ip/tcp.hpp>
 
 namespace fuchsiagauge {
 
+/// The shortest time in which the platform expects a node to work around a lost connection.
+constexpr milliseconds defaultSendTimeout { 3000 };
+
 /// Configures a connection for low latency of short messages, non-blocking use and detection of an
 /// unresponsive remote side within seconds.
 /// @param socket an open socket.
-void configureSocket(boost::asio::ip::tcp::socket& socket);
+/// @param sendTimeout the connection fails if the remote side takes no data for this time. Linux applies it
+/// also to a remote side that is alive but does not read.
+void configureSocket(boost::asio::ip::tcp::socket& socket, milliseconds sendTimeout = defaultSendTimeout);
 
 /// Writes as much as fits into the kernel's send buffer, without blocking.
 /// @param socket a non-blocking socket.
