transport, mesh: Account for responses until clients have read them

The process ended, and with it every request under way there.

Cause: the limit on the memory of responses covered them only while they were received. What waited for a client, also behind the response to an earlier request on its connection, was counted nowhere.

Change: responses stay accounted for until their clients have read them or are gone, so that what is being received gets less. While unread ones take half of the limit, new requests are refused before anything is done for them (503 with Retry-After, reason `unread-responses`).

--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -89,7 +89,7 @@
     void finishStopIfDone(milliseconds now);
     bool isRefusingCalls() const;
     milliseconds getNoticePeriod() const;
-    void refuseWhileStopping(const std::shared_ptr<incoming_call>& call);
+    void refuse(const std::shared_ptr<incoming_call>& call, const char* reason, const char* retryAfterS);
     std::string formatMetrics();
 
     boost::asio::io_context& io;
@@ -170,6 +170,8 @@
     // closed.
     constexpr milliseconds clientSendTimeout { 30000 };
     callersServer.setSendTimeout(clientSendTimeout);
+    callersServer.setMemory(memory);
+    peersServer.setMemory(memory);
     peersServer.setLimits(peerLimits);
 }
 
@@ -261,24 +263,29 @@
     return std::min(maxNoticePeriod, config.gracePeriod * 0.5);
 }
 
-/// Refuses a request that arrives late in a shutdown. The end of the process could cut it off, so the client
-/// has to send it to another node.
-void mesh_node::state::refuseWhileStopping(const std::shared_ptr<incoming_call>& call)
+/// Refuses a request before anything is done for it.
+void mesh_node::state::refuse(
+    const std::shared_ptr<incoming_call>& call, const char* reason, const char* retryAfterS)
 {
-    constexpr const char* retryAfterS = "0.1"; // Short, since clients retry on another node.
     response_head head;
     head.status = notReadyStatus;
     head.fields.add("Retry-After", retryAfterS);
-    counters.countRequest({}, notReadyStatus, "stopping", milliseconds(), time.now());
+    counters.countRequest({}, notReadyStatus, reason, milliseconds(), time.now());
     log.write(event_kind::RequestRefused, protocol.parseClientFields(call->getRequest().fields).requestId,
-        { { "reason", std::string("stopping") } });
+        { { "reason", std::string(reason) } });
     call->respond(head, {});
 }
 
 void mesh_node::state::handleClientCall(const std::shared_ptr<incoming_call>& call)
 {
+    // The end of the process could cut the request off, so the client has to send it to another node.
     if (isRefusingCalls()) {
-        refuseWhileStopping(call);
+        refuse(call, "stopping", "0.1");
+        return;
+    }
+    // Further responses could exceed the memory of the process, which would lose all of them.
+    if (memory->isMostlyHeld()) {
+        refuse(call, "unread-responses", "0.5");
         return;
     }
     const auto started = std::make_shared<outbound_call>(callContext, call);
--- a/tests/mesh/mesh_node_test.cpp
+++ b/tests/mesh/mesh_node_test.cpp
@@ -645,6 +645,31 @@
     mesh.runUntil([&] { return isStopped; });
 }
 
+// A client that doesn't read its responses must not make the process exceed its memory.
+TEST(mesh_node, acceptsNoFurtherRequestsWhileUnreadResponsesTakeTooMuchMemory)
+{
+    constexpr std::size_t responseBytes = 3145728;
+    constexpr int pipelinedRequests = 16;
+    auto& entry = mesh.addVm("i-1", "front");
+    entry.slots = pipelinedRequests;
+    entry.handler = [](const std::shared_ptr<incoming_call>& call) {
+        const auto id = call->getRequest().fields.get("Request-Id");
+        response_head head;
+        head.fields.add("Request-Id", id);
+        call->respond(head, std::string(id == "large" ? responseBytes : 1, 'x'));
+    };
+    mesh.publishInstances();
+    mesh.publishRules(test_mesh::makeRules("front", true));
+    auto client = mesh.connectRawClient(entry);
+    std::string requests;
+    for (int index = 0; index < pipelinedRequests; ++index)
+        requests += "GET / HTTP/1.1\r\nHost: shop\r\nRequest-Id: large\r\n\r\n";
+    boost::asio::write(client, boost::asio::buffer(requests));
+    mesh.runUntil([&] { return mesh.await(mesh.send(entry, "small")).head.status == 503; });
+    client.close();
+    mesh.runUntil([&] { return mesh.await(mesh.send(entry, "small")).head.status == 200; });
+}
+
 // The platform removes an instance from its list while a request runs there.
 TEST(mesh_node, anInstanceThatIsNoLongerListedCompletesItsRequests)
 {
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -258,6 +258,28 @@
     CHECK(count > largerThanSocketBuffers);
 }
 
+// Responses that a client has not read take memory, also those that wait for an earlier one.
+TEST(http_server, accountsForResponsesUntilTheirClientHasReadThem)
+{
+    constexpr std::size_t largerThanSocketBuffers = 8388608;
+    const auto memory = std::make_shared<receive_memory>(largerThanSocketBuffers);
+    server.setMemory(memory);
+    tcp::socket slow(io, tcp::v4());
+    slow.set_option(asio::socket_base::receive_buffer_size(65536));
+    slow.connect(client.remote_endpoint());
+    asio::write(slow,
+        asio::buffer(std::string("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")));
+    runUntil([&] { return calls.size() == 2; });
+    calls[1]->respond(makeHead(200), std::string(largerThanSocketBuffers, 'x'));
+    CHECK_EQUAL(largerThanSocketBuffers, memory->getUsed());
+    CHECK(memory->isMostlyHeld());
+    calls[0]->respond(makeHead(200), std::string(largerThanSocketBuffers, 'x'));
+    CHECK(memory->getUsed() > largerThanSocketBuffers);
+    slow.close();
+    runUntil([&] { return memory->getUsed() == 0; });
+    CHECK_FALSE(memory->isMostlyHeld());
+}
+
 TEST(http_server, isNotDrainedWhileARequestIsPartlyReceived)
 {
     CHECK(server.isDrained());
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -58,6 +58,7 @@
     call_hook onCall;
     client_limits limits;
     milliseconds sendTimeout = defaultSendTimeout;
+    std::shared_ptr<receive_memory> memory;
     bool isClosing = false;
     std::size_t openCallCount = 0;
     std::unordered_set<std::shared_ptr<connection>> connections;
@@ -134,6 +135,8 @@
             m_owner->openCallCount -= m_calls.size();
             auto calls = std::move(m_calls);
             m_calls.clear();
+            m_unsent.clear();
+            accountForResponses();
             for (const auto& call : calls)
                 call->handleDisconnect();
             m_owner->connections.erase(self);
@@ -288,6 +291,21 @@
             m_closesAfterSend = m_closesAfterSend || isLast;
             m_lastActiveAt = m_owner->time.now();
             send(text);
+            accountForResponses();
+        }
+
+        /// Updates the memory of the responses that the client has not read: unsent ones, and those that wait
+        /// for the response to an earlier request.
+        void accountForResponses()
+        {
+            const auto& memory = m_owner->memory;
+            if (!memory)
+                return;
+            auto bytes = m_unsent.size();
+            for (const auto& call : m_calls)
+                bytes += call->getResponseBody().size();
+            memory->hold(m_heldBytes, bytes);
+            m_heldBytes = bytes;
         }
 
         void send(const std::string& text)
@@ -328,6 +346,7 @@
                 return;
             }
             m_lastActiveAt = m_owner->time.now();
+            accountForResponses();
             if (m_unsent.empty())
                 onSent();
             else
@@ -371,6 +390,7 @@
         std::string m_unparsed;
         std::string m_unsent;
         std::deque<std::shared_ptr<incoming_call>> m_calls; ///< Requests in progress, in order of arrival.
+        std::size_t m_heldBytes = 0; ///< Accounted for in `receive_memory`.
         milliseconds m_lastActiveAt;
         bool m_isReading = false;
         bool m_isResumePosted = false;
@@ -455,6 +475,8 @@
 
 void http_server::setSendTimeout(milliseconds timeout) { m_state->sendTimeout = timeout; }
 
+void http_server::setMemory(std::shared_ptr<receive_memory> memory) { m_state->memory = std::move(memory); }
+
 void http_server::beginClosing() { m_state->isClosing = true; }
 
 void http_server::tick()
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -4,6 +4,7 @@
 #include "core/clock.h"
 #include "core/traffic_rules.h"
 #include "transport/incoming_call.h"
+#include "transport/receive_memory.h"
 
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
@@ -46,6 +47,10 @@
     /// fails.
     void setSendTimeout(milliseconds timeout);
 
+    /// Sets where responses are accounted for until their clients have read them; null: nowhere. To be called
+    /// before open().
+    void setMemory(std::shared_ptr<receive_memory> memory);
+
     /// Closes each connection from now on after its next response, once no further request is in progress on
     /// it.
     void beginClosing();
