mesh, platform, transport: Name the shares of the staleness bound and the retry pauses

No behaviour changes. Cause: figures stood unnamed in the code, and `replaceCarrier` closes a connection.

--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -35,6 +35,14 @@
     constexpr milliseconds maxConnectionShutdownTime { 300 };
     /// Fraction of the process' memory that responses being received may take.
     constexpr std::size_t responseMemoryFraction = 4;
+    /// Shares of the time for which a node may act on items that are out of date.
+    constexpr double readerStalenessShare = 0.75; ///< More than the platform client takes to notice silence.
+    constexpr double nodeStalenessShare = 0.85; ///< Leaves time for one read of the platform.
+    constexpr double gateClosingShare = 0.15; ///< What the node staleness leaves.
+    constexpr double pollWaitShare = 0.3;
+    constexpr double answerMarginShare = 0.2;
+    constexpr const char* stoppingRetryAfterS = "0.1"; ///< Short, since clients retry on another node.
+    constexpr const char* unreadResponsesRetryAfterS = "0.5"; ///< Clients need time to read.
     constexpr int readyStatus = 200;
     constexpr int notReadyStatus = 503;
     constexpr int notFoundStatus = 404;
@@ -46,15 +54,14 @@
             std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
     }
 
-    /// Splits the time for which a node may act on items that are out of date.
     replica_exchange::options makeExchangeOptions(const mesh_settings& config)
     {
         const auto bound = config.getStalenessBound();
         replica_exchange::options options;
-        options.readerStaleness = bound * 0.75;
-        options.nodeStaleness = bound * 0.85;
-        options.pollWait = std::min(options.pollWait, bound * 0.3);
-        options.answerMargin = std::min(options.answerMargin, bound * 0.2);
+        options.readerStaleness = bound * readerStalenessShare;
+        options.nodeStaleness = bound * nodeStalenessShare;
+        options.pollWait = std::min(options.pollWait, bound * pollWaitShare);
+        options.answerMargin = std::min(options.answerMargin, bound * answerMarginShare);
         return options;
     }
 
@@ -280,12 +287,12 @@
 {
     // The end of the process could cut the request off, so the client has to send it to another node.
     if (isRefusingCalls()) {
-        refuse(call, "stopping", "0.1");
+        refuse(call, "stopping", stoppingRetryAfterS);
         return;
     }
     // Further responses could exceed the memory of the process, which would lose all of them.
     if (memory->isMostlyHeld()) {
-        refuse(call, "unread-responses", "0.5");
+        refuse(call, "unread-responses", unreadResponsesRetryAfterS);
         return;
     }
     const auto started = std::make_shared<outbound_call>(callContext, call);
@@ -438,7 +445,6 @@
 /// other instances. Nodes that learn of it later than this one may still send requests until then.
 void mesh_node::state::updateLocalGate(milliseconds now)
 {
-    constexpr double closingDelayShare = 0.15; // What nodeStaleness leaves of the bound.
     const auto* entry = directory.findByTarget(config.target, config.service);
     const bool isLeaving = entry ? entry->record.isDraining : !localInstanceKey.empty();
     if (!isLeaving)
@@ -446,7 +452,7 @@
     else if (!localInstanceLeavingSince)
         localInstanceLeavingSince = now;
     const bool hasLeft = localInstanceLeavingSince
-        && now - *localInstanceLeavingSince >= config.getStalenessBound() * closingDelayShare;
+        && now - *localInstanceLeavingSince >= config.getStalenessBound() * gateClosingShare;
     target.setDraining(hasLeft || isRefusingCalls());
 }
 
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -395,8 +395,7 @@
         bool m_isReading = false;
         bool m_isResumePosted = false;
         bool m_hasStoppedReading = false; ///< No further requests are read from this connection.
-        bool m_isShutDown
-            = false; ///< Nothing more is sent; the connection ends with the client's next bytes.
+        bool m_isShutDown = false; ///< Nothing more is sent.
         bool m_closesAfterSend = false;
         bool m_isClosed = false;
     };
--- a/transport/pooled_http_client.cpp
+++ b/transport/pooled_http_client.cpp
@@ -130,7 +130,7 @@
 
     /// Closes an idle connection that must not carry the request, so that the new connection which the
     /// request needs does not add to their number.
-    void replaceCarrier(const std::string& requestId)
+    void closeCarrier(const std::string& requestId)
     {
         const auto carrier = std::find_if(
             idle.begin(), idle.end(), [&](const auto& entry) { return entry->hasCarried(requestId); });
@@ -488,7 +488,7 @@
 {
     auto chosen = m_state->takeIdle(request);
     if (!chosen) {
-        m_state->replaceCarrier(request.id);
+        m_state->closeCarrier(request.id);
         if (m_state->connections.size() >= m_state->limits.connections) {
             outgoing_result result;
             result.failure = { error_kind::TargetUnreachable, "too many connections" };
