mesh: Log which refusal shows that a request has not run

request-asked-again, request-repeated, gate and instance lines now tell the refusal's status, its age and whether its connection was kept.

--- a/mesh/local_target.cpp
+++ b/mesh/local_target.cpp
@@ -1,6 +1,7 @@
 #include "mesh/local_target.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace fuchsiagauge {
@@ -27,6 +28,14 @@
         return limits;
     }
 
+    /// Describes the response that shows that a request has not run, for the event log.
+    std::string describeRefusal(const outgoing_result& outgoing)
+    {
+        return "status " + std::to_string(outgoing.head.status) + " after "
+            + std::to_string(std::lround(outgoing.duration.getCount())) + " ms on a "
+            + (outgoing.isConnectionReused ? "kept" : "new") + " connection";
+    }
+
     /// @return the priority in the retry budget of a request that is itself retried, whether or not its
     /// parent is a retry.
     retry_priority getRetryPriority(const peer_call& call)
@@ -221,7 +230,7 @@
     if (mayRetryLocally(found->second, outgoing)) {
         auto& active = found->second;
         m_retryBudget.onRetry(m_time.now(), getRetryPriority(active.call));
-        m_onLocalRetry(active.call.requestId);
+        m_onLocalRetry(active.call.requestId, describeRefusal(outgoing));
         active.request = std::move(outgoing.request);
         m_protocol.sanitizeClientFields(active.request.fields);
         sendToInstance(id, active);
@@ -317,6 +326,8 @@
         result.outcome = attempt_outcome::Misdirected;
     else if (info.isRejected)
         result.outcome = attempt_outcome::Rejected;
+    if (result.outcome != attempt_outcome::Answered)
+        result.detail = describeRefusal(outgoing);
     m_protocol.sanitizeResponseFields(outgoing.head.fields);
     result.head = std::move(outgoing.head);
     result.body = std::move(outgoing.body);
--- a/mesh/local_target.h
+++ b/mesh/local_target.h
@@ -22,7 +22,7 @@
     attempt_outcome outcome = attempt_outcome::Lost;
     response_head head; ///< Head of the response, if there is one.
     std::string body;
-    std::string detail; ///< Why there is no response.
+    std::string detail; ///< Why there is no response, or which refusal shows that the request has not run.
     slot_report load; ///< The instance's load when the attempt ended; valid if `hasLoad`.
     bool hasLoad = false;
     bool isInstanceLeaving = false; ///< The instance has announced that it is about to stop.
@@ -41,8 +41,9 @@
 
 /// Called when an attempt has ended.
 using attempt_hook = std::function<void(attempt_result)>;
-/// Called with the request's id each time the request is sent to the local instance again.
-using local_retry_hook = std::function<void(const std::string& requestId)>;
+/// Called each time a request is sent to the local instance again, with the request's id and the refusal that
+/// shows that the request has not run.
+using local_retry_hook = std::function<void(const std::string& requestId, const std::string& refusal)>;
 
 /// The local instance, with the admission control in front of it.
 ///
--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -90,7 +90,7 @@
     std::set<std::string> findServices(const traffic_rules& rules) const;
     bool isReady() const;
     void onInstanceChange(const instance_directory::entry& entry, const char* change);
-    void onLocalRetry(const std::string& requestId);
+    void onLocalRetry(const std::string& requestId, const std::string& refusal);
     void syncWithLocalInstance();
     void updateLocalGate(milliseconds now);
     void finishStopIfDone(milliseconds now);
@@ -148,7 +148,8 @@
     , picker(config.location, random)
     , memory(std::make_shared<receive_memory>(config.memoryBytes / responseMemoryFraction))
     , target(ioContext, time, config.target, protocol, config.retryLimits, memory,
-          [this](const std::string& requestId) { onLocalRetry(requestId); })
+          [this](
+              const std::string& requestId, const std::string& refusal) { onLocalRetry(requestId, refusal); })
     , peerPools(ioContext, time, memory)
     , exchange(time, makeExchangeOptions(config), config.peersListener.host, makeExchangeHooks())
     , callContext { config, time, protocol, std::make_shared<const traffic_rules>(), directory, picker,
@@ -420,10 +421,11 @@
             { "revision", static_cast<double>(record.revision) } });
 }
 
-void mesh_node::state::onLocalRetry(const std::string& requestId)
+void mesh_node::state::onLocalRetry(const std::string& requestId, const std::string& refusal)
 {
     counters.localRetries.add();
-    log.write(event_kind::RequestAskedAgain, requestId, { { "instance", localInstanceKey } });
+    log.write(event_kind::RequestAskedAgain, requestId,
+        { { "instance", localInstanceKey }, { "detail", refusal } });
 }
 
 /// Updates the local target after the platform has changed the listed entry of the instance on this VM.
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -271,7 +271,7 @@
     outgoing.head.fields.erase(peer_header::rateLimit);
     outgoing.head.fields.erase(peer_header::leaving);
     result.head = std::move(outgoing.head);
-    if (result.outcome == attempt_outcome::Answered || result.outcome == attempt_outcome::Rejected)
+    if (result.outcome == attempt_outcome::Answered)
         result.body = std::move(outgoing.body);
     else
         result.detail = std::move(outgoing.body);
--- a/tests/transport/pooled_http_client_test.cpp
+++ b/tests/transport/pooled_http_client_test.cpp
@@ -138,9 +138,11 @@
     send("a");
     respond("HTTP/1.1 200 OK\r\nid: a\r\nContent-Length: 2\r\n\r\nok");
     expectResponse("ok");
+    CHECK_FALSE(result->isConnectionReused);
     send("b");
     respond("HTTP/1.1 200 OK\r\nid: b\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n");
     expectResponse("hi");
+    CHECK(result->isConnectionReused);
     CHECK_EQUAL(1U, connections.size());
 }
 
--- a/transport/pooled_http_client.cpp
+++ b/transport/pooled_http_client.cpp
@@ -64,6 +64,7 @@
     bool handleMessage(bool isFollowedByData);
     response_match matchMessage();
     void onReadFailed(const boost::system::error_code& code);
+    outgoing_result makeResult() const;
     void finish();
     void failCall(error_kind kind, const std::string& detail);
     void resetParser();
@@ -393,10 +394,19 @@
     failCall(m_parser->got_some() ? error_kind::BrokenAnswer : error_kind::ConnectionLost, code.message());
 }
 
+/// @return a result that tells which connection the call used and how long it took.
+outgoing_result pooled_http_client::connection::makeResult() const
+{
+    outgoing_result result;
+    result.isConnectionReused = m_callNumber > 1;
+    result.duration = m_owner->time.now() - m_startedAt;
+    return result;
+}
+
 void pooled_http_client::connection::finish()
 {
     const auto self = shared_from_this();
-    outgoing_result result;
+    auto result = makeResult();
     result.isAnswered = true;
     result.mayHaveArrived = true;
     result.head.status = m_parser->status;
@@ -428,7 +438,7 @@
     const auto self = shared_from_this();
     const auto onResult = std::move(m_onResult);
     m_onResult = nullptr;
-    outgoing_result result;
+    auto result = makeResult();
     result.failure = { kind, formatAddress(m_owner->remote) + ": " + detail };
     result.mayHaveArrived = m_hasSent;
     close();
--- a/transport/pooled_http_client.h
+++ b/transport/pooled_http_client.h
@@ -22,6 +22,8 @@
     std::string body;
     error failure;
     bool mayHaveArrived = false; ///< Whether any byte of the request may have reached the remote side.
+    bool isConnectionReused = false; ///< The connection had carried another call before.
+    milliseconds duration; ///< From the start of the call, including the connection's, to its end.
     call_request request; ///< Set if the call was answered, so that it can be sent again.
 };
 
