transport: Fail a response whose head goes on with another response

Cause: an instance breaks off within a refusal and goes on with the response to the running request. The parser makes one head of both, with the status and Not-Run of the first and the request id of the second. Whatever stands in front, the status line of the second response is whole, so a head in whose reason phrase or field values a status line stands is made up of two responses. It now fails the call as one that may have run; a success or failure made up this way isn't passed on either.

--- a/transport/message_parser.h
+++ b/transport/message_parser.h
@@ -40,6 +40,9 @@
     std::string body;
     int keepAliveSeconds = -1; ///< Value of `Keep-Alive: timeout`; -1 if it is missing.
     bool expectsContinue = false; ///< The sender waits for `100 Continue` before it sends the body.
+    /// A status line stands within the head: an unfinished head goes on with another response. Parsing ends
+    /// with an error.
+    bool hasSecondStatusLine = false;
 
 private:
     void on_request_impl(boost::beast::http::verb /*verb*/, string_view methodText, string_view targetText,
@@ -49,15 +52,20 @@
         target.assign(targetText.data(), targetText.size());
     }
 
-    void on_response_impl(
-        int statusCode, string_view /*reason*/, int /*version*/, error_code& /*code*/) override
+    void on_response_impl(int statusCode, string_view reason, int /*version*/, error_code& code) override
     {
         status = statusCode;
+        if (containsStatusLine(reason))
+            rejectSecondStatusLine(code);
     }
 
-    void on_field_impl(boost::beast::http::field name, string_view nameText, string_view value,
-        error_code& /*code*/) override
+    void on_field_impl(
+        boost::beast::http::field name, string_view nameText, string_view value, error_code& code) override
     {
+        if (!isRequest && containsStatusLine(value)) {
+            rejectSecondStatusLine(code);
+            return;
+        }
         if (name == boost::beast::http::field::keep_alive)
             readKeepAlive(std::string(value));
         if (name == boost::beast::http::field::expect)
@@ -95,6 +103,30 @@
 
     void on_finish_impl(error_code& /*code*/) override { }
 
+    /// @return whether a text contains the beginning of a status line, such as `HTTP/1.1 200`.
+    static bool containsStatusLine(string_view text)
+    {
+        constexpr std::size_t versionBytes = 8;
+        constexpr std::size_t statusDigits = 3;
+        for (auto start = text.find("HTTP/1."); start != string_view::npos;
+             start = text.find("HTTP/1.", start + 1)) {
+            const auto rest = text.substr(start);
+            if (rest.size() <= versionBytes + statusDigits || rest[versionBytes] != ' ')
+                continue;
+            const auto digits = rest.substr(versionBytes + 1, statusDigits);
+            if (std::all_of(
+                    digits.begin(), digits.end(), [](char digit) { return digit >= '0' && digit <= '9'; }))
+                return true;
+        }
+        return false;
+    }
+
+    void rejectSecondStatusLine(error_code& code)
+    {
+        hasSecondStatusLine = true;
+        code = boost::beast::http::error::bad_value;
+    }
+
     void readKeepAlive(const std::string& value)
     {
         const std::string key = "timeout=";
--- a/transport/pooled_http_client.cpp
+++ b/transport/pooled_http_client.cpp
@@ -326,7 +326,9 @@
         used += step;
         const bool needsMore = code == boost::beast::http::error::need_more;
         if (code && !needsMore) {
-            failCall(error_kind::BrokenAnswer, code.message());
+            failCall(error_kind::BrokenAnswer,
+                m_parser->hasSecondStatusLine ? "an unfinished head goes on with another response"
+                                              : code.message());
             return size;
         }
         if (m_parser->is_done()) {
--- a/transport/pooled_http_client.h
+++ b/transport/pooled_http_client.h
@@ -54,7 +54,8 @@
 ///
 /// A call that fails or is cancelled closes its connection, so that a late response can't be mistaken for the
 /// response to another request. A request that is sent again goes over another connection. Idle connections
-/// are monitored: one that receives unexpected data or is closed by the remote side is removed at once.
+/// are monitored: one that receives unexpected data or is closed by the remote side is removed at once. A
+/// head that is made up of two responses fails the call as one that may have arrived.
 class pooled_http_client {
 public:
     using result_hook = std::function<void(outgoing_result)>;
