transport: Trust no response that names no request

Cause: a response without an id was accepted as the first one on its connection, since no earlier response can be left over there. But an instance may also send one that nobody asked for, before it has read the request. Instances repeat the id in all responses, so one without an id is evidence for nothing; it fails the call as one that may have run.

merged_response, aRefusalThatNamesNoRequestNeverHidesARunOnANewConnection failed before (runs 2, expected 1). The check trustsAResponseWithoutAnIdOnANewConnectionOnly wanted the response on a new connection accepted; trustsNoResponseWithoutAnId replaces it, which is stricter. node_tests pass (138).

--- a/tests/mesh/merged_response_test.cpp
+++ b/tests/mesh/merged_response_test.cpp
@@ -98,3 +98,10 @@
     isFramedInChunks = true;
     sendOrdersBehindEachCut();
 }
+
+// A whole refusal that names no request must not pass for that of the first request on a new connection.
+TEST(merged_response, aRefusalThatNamesNoRequestNeverHidesARunOnANewConnection)
+{
+    startsNewConnections = true;
+    sendOrdersBehindEachCut();
+}
--- a/tests/transport/pooled_http_client_test.cpp
+++ b/tests/transport/pooled_http_client_test.cpp
@@ -370,14 +370,19 @@
     runUntil([&] { return connections.front().isClosed; });
 }
 
-// A late copy of a refusal without an id must not pass for the response to the next request.
-TEST(pooled_http_client, trustsAResponseWithoutAnIdOnANewConnectionOnly)
+// A refusal without an id must not pass for the response to the request that is running, whether it is a late
+// copy on a kept connection or the first message on a new one.
+TEST(pooled_http_client, trustsNoResponseWithoutAnId)
 {
     const std::string refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy";
     send("a");
     respond(refusal);
-    expectResponse("busy");
+    expectFailure(error_kind::BrokenAnswer, true);
+    runUntil([&] { return connections.back().isClosed; });
     send("b");
+    respond("HTTP/1.1 200 OK\r\nid: b\r\nContent-Length: 2\r\n\r\nok");
+    expectResponse("ok");
+    send("c");
     respond(refusal);
     expectFailure(error_kind::BrokenAnswer, true);
     runUntil([&] { return connections.back().isClosed; });
--- a/transport/pooled_http_client.cpp
+++ b/transport/pooled_http_client.cpp
@@ -354,7 +354,7 @@
         return true;
     }
     if (match == response_match::Unidentified) {
-        failCall(error_kind::BrokenAnswer, "a response that names no request on a reused connection");
+        failCall(error_kind::BrokenAnswer, "a response that names no request");
         return true;
     }
     if (++m_skippedMessages > maxSkippedMessages) {
@@ -375,12 +375,8 @@
     head.status = m_parser->status;
     head.fields = m_parser->fields;
     const auto match = m_request.matchResponse(head);
-    if (match == response_match::Matches)
-        return match;
-    const bool isFirstMessage = m_callNumber == 1 && !m_hasUnrequestedData;
-    if (match == response_match::Unidentified && isFirstMessage)
-        return response_match::Matches;
-    m_hasUnrequestedData = true;
+    if (match != response_match::Matches)
+        m_hasUnrequestedData = true;
     return match;
 }
 
--- a/transport/pooled_http_client.h
+++ b/transport/pooled_http_client.h
@@ -31,9 +31,9 @@
 struct outgoing_request {
     call_request request;
     milliseconds expiresAt; ///< The call then fails with AnswerTimeout.
-    /// Returns whether a response belongs to this request; those to others are discarded. A response that
-    /// names no request is accepted only as the first one on its connection, and fails the call on a reused
-    /// one: it may be a late copy of an earlier response. If empty, all are accepted.
+    /// Returns whether a response belongs to this request. Those to others are discarded. One that names no
+    /// request fails the call as one that may have arrived: it may be left over from another request, or have
+    /// been sent before the remote side has read this one. If empty, all are accepted.
     std::function<response_match(const response_head&)> matchResponse;
     /// If set, the request is not sent on a connection that has carried a request with this id: a late copy
     /// of the response to the earlier one could not be told from the response to this one.
