--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -17,6 +17,7 @@
     constexpr double callSlackShare = 0.2;
     constexpr int notFoundStatus = 404;
     constexpr int requestTimeoutStatus = 408;
+    constexpr int misdirectedStatus = 421;
     constexpr int tooManyRequestsStatus = 429;
     constexpr int unavailableStatus = 503;
     constexpr int badGatewayStatus = 502;
@@ -59,8 +60,8 @@
     /// @return whether clients take a status as the promise that the request has not run.
     bool promisesNotRun(int status)
     {
-        return status == requestTimeoutStatus || status == tooManyRequestsStatus
-            || status == unavailableStatus;
+        return status == requestTimeoutStatus || status == misdirectedStatus
+            || status == tooManyRequestsStatus || status == unavailableStatus;
     }
 
 } // namespace
