--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -115,7 +115,7 @@
 class Fleet:
     """Two nodes a zone, so that each reads the store by itself and sees the other VMs through links of its own."""
 
-    def __init__(self, record, folder, checkout, program, seed):
+    def __init__(self, record, folder, checkout, program, seed, services=("orders", "browse")):
         self.record = record
         self.folder = folder
         self.program = program
@@ -128,7 +128,7 @@
         self.instances = []
         self.nodes = []
         for number, zone in enumerate([zone for zone in ZONES for _ in range(2)]):
-            service = ("orders", "browse")[number % 2]
+            service = services[number % len(services)]
             address = (f"{self.network}.1.{10 + number}", APP_PORT)
             instance = Instance(record, f"i-{number:02d}", service, address, zone, SLOTS, f"{seed}/{number}")
             instance.outbound = (address[0], CALLERS_PORT)
@@ -180,9 +180,10 @@
                     "priority": priority, "service": service, "maxAttempts": 2}
         return {"version": f"{version:08x}",
                 "routes": {"r-orders": route("/orders/", "orders", "non_idempotent", 0),
-                           "r-browse": route("/browse/", "browse", "idempotent", 1)},
+                           "r-browse": route("/browse/", "browse", "idempotent", 1),
+                           "r-alone": route("/alone/", "alone", "non_idempotent", 0)},
                 "services": {name: {"healthPath": "/health", "maxConnections": 1018, "protocol": "h1", "tls": False}
-                             for name in ("orders", "browse")},
+                             for name in ("orders", "browse", "alone")},
                 "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": 15}}
 
     async def start(self):
