transport: Ignore the fields of a trailer

Found while looking for the same cause elsewhere, not seen by callers: the parser added the fields behind the last chunk to those of the head, so bytes that an instance writes after the body of a success could name another request in it, or state that it has not run. The same holds for requests of clients.

ignoresTheFieldsOfATrailer failed before (Not-Run found in the head). The groups pooled_http_client (21) and http_server (16) pass.

--- a/tests/transport/pooled_http_client_test.cpp
+++ b/tests/transport/pooled_http_client_test.cpp
@@ -388,6 +388,16 @@
     runUntil([&] { return connections.back().isClosed; });
 }
 
+// Fields behind the last chunk must not change what the head has told.
+TEST(pooled_http_client, ignoresTheFieldsOfATrailer)
+{
+    send("a");
+    respond("HTTP/1.1 200 OK\r\nid: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+            "Not-Run: 1\r\nid: b\r\nKeep-Alive: timeout=0\r\n\r\n");
+    expectResponse("ok");
+    CHECK(result->head.fields.find("Not-Run") == nullptr);
+}
+
 // The connection ends before the last chunk: what arrived looks whole but for the end mark.
 TEST(pooled_http_client, reportsAChunkedResponseWithoutItsEndAsBroken)
 {
--- a/transport/message_parser.h
+++ b/transport/message_parser.h
@@ -62,6 +62,8 @@
     void on_field_impl(
         boost::beast::http::field name, string_view nameText, string_view value, error_code& code) override
     {
+        if (this->is_header_done()) // A trailer can't change what the head has told.
+            return;
         if (!isRequest && containsStatusLine(value)) {
             rejectSecondStatusLine(code);
             return;
