mesh: Let a stopping node take no request that it would cut off

Callers saw requests that a node in a planned stop had taken and passed on end without an answer at the end of the grace time, among them requests that may not be repeated (users' report on another system).

Cause: whether a request can end in time was not asked. Now - a client's request is refused at once, with a short Retry-After, if its route's run times make it likely to last beyond the node's end (5 in 100; 1 in 100 if it must run once); - a request of another node that must run once is refused unless it expires before the end: that node can send it elsewhere, and no cut can leave its outcome unknown; - the node ends 0.25 s before the grace time does, not 8 in 100 of it.

--- a/mesh/inbound_call.cpp
+++ b/mesh/inbound_call.cpp
@@ -74,6 +74,17 @@
     call->rateLimit = parseRateLimit(request.fields.find(peer_header::rateLimit));
     request.fields.erase(peer_header::call);
     request.fields.erase(peer_header::rateLimit);
+    // The other node can still send a request that must run once elsewhere, but no longer once it is cut off.
+    const bool mayBeCutOff
+        = context.endsAt && !call->isIdempotent && context.time.now() + call->timeLeft > *context.endsAt;
+    if (mayBeCutOff) {
+        attempt_result leaving;
+        leaving.outcome = attempt_outcome::Leaving;
+        leaving.detail = "this node may stop before the request ends";
+        leaving.load = context.target.getLoad();
+        respondToPeer(context, *incoming, *call, std::move(leaving));
+        return;
+    }
     const auto runId
         = context.target.run(request, *call, [&context, incoming, call = *call](attempt_result result) {
               respondToPeer(context, *incoming, call, std::move(result));
--- a/mesh/mesh_context.h
+++ b/mesh/mesh_context.h
@@ -14,9 +14,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace fuchsiagauge {
 
+/// Retry-After of a node that is stopping. Short, since clients retry on another node.
+constexpr double stoppingRetryAfterS = 0.1;
+
 /// The components of a mesh node that its inbound and outbound calls use.
 struct mesh_context {
     const mesh_settings& config;
@@ -31,6 +35,8 @@
     mesh_counters& counters;
     event_log& log;
     std::function<double()> random; ///< Returns uniformly distributed numbers in [0, 1).
+    /// When a stopping node cuts off the requests that are still in flight; nothing while it is not stopping.
+    std::optional<milliseconds> endsAt;
     /// Called when the instance at an address is not the one listed for it; may be empty.
     std::function<void()> onStaleInstance;
 };
--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -3,6 +3,7 @@
 #include "core/error.h"
 #include "core/event_log.h"
 #include "core/metrics.h"
+#include "core/text_fields.h"
 #include "mesh/inbound_call.h"
 #include "mesh/mesh_context.h"
 #include "mesh/outbound_call.h"
@@ -27,9 +28,10 @@
     /// New requests are accepted for this time after the stop signal. Clients check readiness every second
     /// and need up to two checks to notice that the node is not ready; they send requests until then.
     constexpr milliseconds maxNoticePeriod { 3000 };
-    /// The node stops after this share of the grace period even if requests are still in flight, so that it
-    /// ends before the process is killed.
+    /// The node stops before the end of the grace period even if requests are still in flight, so that it
+    /// ends before the process is killed: at the later of these times.
     constexpr double usableGraceShare = 0.92;
+    constexpr milliseconds exitTime { 250 };
     /// Time in which clients and peers may close their connections after the node has shut them down. Closing
     /// them at once could discard the end of a response that is still on its way.
     constexpr milliseconds maxConnectionShutdownTime { 300 };
@@ -41,7 +43,6 @@
     constexpr double gateClosingShare = 0.15; ///< What the node staleness leaves.
     constexpr double pollWaitShare = 0.3;
     constexpr double answerMarginShare = 0.2;
-    constexpr const char* stoppingRetryAfterS = "0.1"; ///< Short, since clients retry on another node.
     constexpr const char* unreadResponsesRetryAfterS = "0.5"; ///< Clients need time to read.
     constexpr int readyStatus = 200;
     constexpr int notReadyStatus = 503;
@@ -96,6 +97,7 @@
     void finishStopIfDone(milliseconds now);
     bool isRefusingCalls() const;
     milliseconds getNoticePeriod() const;
+    milliseconds getEndTime() const;
     void refuse(const std::shared_ptr<incoming_call>& call, const char* reason, const char* retryAfterS);
     std::string formatMetrics();
 
@@ -153,7 +155,8 @@
     , peerPools(ioContext, time, memory)
     , exchange(time, makeExchangeOptions(config), config.peersListener.host, makeExchangeHooks())
     , callContext { config, time, protocol, std::make_shared<const traffic_rules>(), directory, picker,
-        splitter, target, peerPools, counters, log, random, [this] { exchange.reportOutdated(); } }
+        splitter, target, peerPools, counters, log, random, std::nullopt,
+        [this] { exchange.reportOutdated(); } }
     , callersServer(ioContext, time, config.maxConnections,
           [this](const std::shared_ptr<incoming_call>& call) { handleClientCall(call); })
     , peersServer(ioContext, time, config.maxConnections,
@@ -271,6 +274,12 @@
     return std::min(maxNoticePeriod, config.gracePeriod * 0.5);
 }
 
+/// @return when a node that is stopping cuts off the requests that are still in flight.
+milliseconds mesh_node::state::getEndTime() const
+{
+    return stoppingSince + std::max(config.gracePeriod * usableGraceShare, config.gracePeriod - exitTime);
+}
+
 /// Refuses a request before anything is done for it.
 void mesh_node::state::refuse(
     const std::shared_ptr<incoming_call>& call, const char* reason, const char* retryAfterS)
@@ -288,7 +297,7 @@
 {
     // The end of the process could cut the request off, so the client has to send it to another node.
     if (isRefusingCalls()) {
-        refuse(call, "stopping", stoppingRetryAfterS);
+        refuse(call, "stopping", formatSeconds(stoppingRetryAfterS).c_str());
         return;
     }
     // Further responses could exceed the memory of the process, which would lose all of them.
@@ -473,7 +482,7 @@
     const auto connections = callersServer.getConnectionCount() + peersServer.getConnectionCount();
     const bool isDone
         = isShuttingDown && (connections == 0 || now - shutdownStartedAt >= maxConnectionShutdownTime);
-    if (!isDone && elapsed < config.gracePeriod * usableGraceShare)
+    if (!isDone && now < getEndTime())
         return;
     log.write(event_kind::NodeStopped, {},
         { { "open", static_cast<double>(callersServer.getOpenCallCount()) }, { "ms", elapsed.getCount() } });
@@ -508,6 +517,7 @@
         return;
     m_state->isStopping = true;
     m_state->stoppingSince = m_state->time.now();
+    m_state->callContext.endsAt = m_state->getEndTime();
     m_state->callersServer.beginClosing();
     m_state->exchange.stop();
     m_state->log.write(event_kind::NodeStopping, {},
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -28,6 +28,9 @@
     /// Clients wait at most this share of their remaining time before a retry.
     constexpr double retryAfterTimeLeftShare = 1.0 / 3;
     constexpr double noRulesRetryAfterS = 0.3; ///< A starting node receives its routes within this time.
+    /// Share of the requests taken by a stopping node that may last beyond its end.
+    constexpr double maxCutOffShare = 0.05;
+    constexpr double maxNonIdempotentCutOffShare = 0.01; ///< Their callers can't send them again.
     constexpr double msPerSecond = 1000;
 
     health_signal getHealthSignal(const attempt_result& result)
@@ -145,9 +148,26 @@
         endAttempts(noInstance);
         return;
     }
+    if (!isLikelyToEndInTime(*chosen, now)) {
+        attempt_result stopping;
+        stopping.outcome = attempt_outcome::Leaving;
+        stopping.detail = "this node is likely to stop before the request ends";
+        endAttempts(stopping);
+        return;
+    }
     sendAttempt(*chosen);
 }
 
+/// @return whether the request is likely to end before this node cuts it off.
+bool outbound_call::isLikelyToEndInTime(const instance_directory::entry& chosen, milliseconds now) const
+{
+    if (!m_context.endsAt || m_expiresAt <= *m_context.endsAt)
+        return true;
+    const auto left = *m_context.endsAt - now;
+    return m_context.picker.getExcessProbability(chosen.record.id, m_route->name, left)
+        <= (m_route->isIdempotent ? maxCutOffShare : maxNonIdempotentCutOffShare);
+}
+
 const instance_directory::entry* outbound_call::chooseInstance(milliseconds now)
 {
     const auto* requiredInstance = m_context.directory.find(m_history.getRequiredInstance());
@@ -468,6 +488,8 @@
 double outbound_call::getRetryAfterS(attempt_outcome last) const
 {
     const auto now = m_context.time.now();
+    if (m_context.endsAt)
+        return stoppingRetryAfterS;
     if (last == attempt_outcome::Shed && m_clientInfo.timeLeft) {
         const auto left = *m_clientInfo.timeLeft - (now - m_incoming->getArrivalTime());
         return left.getCount() / msPerSecond * retryAfterTimeLeftShare * (0.5 + 0.5 * m_context.random());
--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -54,6 +54,7 @@
     const instance_directory::entry* chooseInstance(milliseconds now);
     double getRetryAfterS(attempt_outcome last) const;
     void startAttempt();
+    bool isLikelyToEndInTime(const instance_directory::entry& chosen, milliseconds now) const;
     void sendAttempt(const instance_directory::entry& chosen);
     void recordSpillover(const instance_directory::entry& chosen);
     void sendToPeer(const instance_directory::entry& chosen, const peer_call& call);
--- a/policy/instance_picker.cpp
+++ b/policy/instance_picker.cpp
@@ -226,6 +226,13 @@
     m_runTimes.record(id, route, duration);
 }
 
+double instance_picker::getExcessProbability(
+    const std::string& id, const std::string& route, milliseconds limit) const
+{
+    const auto estimate = m_runTimes.estimate(id, route);
+    return estimate ? estimate->getExcessProbability(limit) : 0;
+}
+
 double instance_picker::getDistanceCost(const pick_request& request, const std::string& zone) const
 {
     const double spareMs = request.spareTime.getCount();
--- a/policy/instance_picker.h
+++ b/policy/instance_picker.h
@@ -89,6 +89,10 @@
     /// Records how long a successful request took that did not wait for a slot.
     void onRunTime(const std::string& id, const std::string& route, milliseconds duration);
 
+    /// @return the probability that a request of a route runs longer than `limit` at the instance, 0 to 1; 0
+    /// if none has ended there yet.
+    double getExcessProbability(const std::string& id, const std::string& route, milliseconds limit) const;
+
     /// @param sentAt when a request was sent to the instance.
     /// @return whether the instance has not answered any request for an unusually long time since `sentAt`.
     bool isUnresponsive(const std::string& id, milliseconds now, milliseconds sentAt) const;
--- a/tests/mesh/mesh_node_test.cpp
+++ b/tests/mesh/mesh_node_test.cpp
@@ -572,6 +572,59 @@
     mesh.runUntil([&] { return isStopped; });
 }
 
+// A request whose run is likely to last beyond the grace period would be cut off at its end.
+TEST(mesh_node, aStoppingNodeRefusesRequestsThatAreLikelyToOutlastIt)
+{
+    constexpr milliseconds gracePeriod { 400 };
+    constexpr std::chrono::milliseconds runTime { 1000 };
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& only = mesh.addVm("i-2", "orders");
+    mesh.publishInstances();
+    auto rules = test_mesh::makeRules("orders", false);
+    rules.routes.push_back(rules.routes.front());
+    rules.routes.back().name = "slow";
+    rules.routes.back().pathPrefix = "/slow/";
+    mesh.publishRules(rules);
+    LONGS_EQUAL(200, mesh.await(mesh.send(entry, "id-1", "/x")).head.status);
+    only.handler = test_mesh::makeHoldingHandler(only);
+    const auto slow = mesh.send(entry, "id-2", "/slow/x");
+    const auto end = std::chrono::steady_clock::now() + runTime;
+    mesh.runUntil([&] { return !only.held.empty() && std::chrono::steady_clock::now() > end; });
+    only.handler = test_mesh::makeRespondingHandler(200);
+    only.handler(only.held[0]);
+    LONGS_EQUAL(200, mesh.await(slow).head.status);
+    mesh_settings settings;
+    settings.gracePeriod = gracePeriod;
+    entry.node->reloadSettings(settings, {});
+    entry.node->stop([] {});
+    const auto& refusal = mesh.await(mesh.send(entry, "id-3", "/slow/x"));
+    LONGS_EQUAL(503, refusal.head.status);
+    DOUBLES_EQUAL(0.1, std::stod(refusal.head.fields.get("Retry-After")), 1e-9);
+    CHECK_EQUAL(2U, only.received.size());
+}
+
+// Another node can send a request that must run once elsewhere, as long as it has not been taken.
+TEST(mesh_node, aStoppingNodeTakesNoRequestThatMustRunOnceAndMayOutlastIt)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& stopping = mesh.addVm("i-2", "orders");
+    mesh.publishInstances();
+    auto rules = test_mesh::makeRules("orders", false);
+    rules.routes.front().timeout = milliseconds(15000);
+    mesh.publishRules(rules);
+    stopping.node->stop([] {});
+    const std::vector<header_field> longDeadline { { "Request-Deadline", "15000" } };
+    const std::vector<header_field> shortDeadline { { "Request-Deadline", "1000" } };
+    LONGS_EQUAL(503, mesh.await(mesh.send(entry, "id-1", "/x", longDeadline)).head.status);
+    CHECK(stopping.received.empty());
+    auto& other = mesh.addVm("i-3", "orders");
+    mesh.publishInstances();
+    LONGS_EQUAL(200, mesh.await(mesh.send(entry, "id-2", "/x", longDeadline)).head.status);
+    CHECK_EQUAL(1U, other.received.size());
+    other.node->stop([] {});
+    LONGS_EQUAL(200, mesh.await(mesh.send(entry, "id-3", "/x", shortDeadline)).head.status);
+}
+
 TEST(mesh_node, aPendingTickDoesNotRunAfterTheNodeIsDestroyed)
 {
     boost::asio::io_context io;
--- a/tests/soak/instance.py
+++ b/tests/soak/instance.py
@@ -25,8 +25,8 @@
         return self.reader.at_eof() or self.reader.exception() is not None or self.writer.transport.is_closing()
 
     def reset(self):
-        sock = self.writer.get_extra_info("socket")
-        if sock is not None:
+        if not self.writer.transport.is_closing():
+            sock = self.writer.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.writer.transport.abort()
 
