--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: install build test demo bench prove sanitize fuzz docs format lint
+.PHONY: install build test demo bench prove soak sanitize fuzz docs format lint
 
 install:
 	misc/install_packages.sh
@@ -24,6 +24,12 @@
 prove: install build
 	BUILD=$(BUILD) misc/prove.py $(SEEDS)
 
+# Fault soak on node processes for about MINUTES with seeds from SEED on; `make soak` plays fresh seeds.
+SEED ?= $(shell date +%s)
+MINUTES ?= 10
+soak: install build
+	tests/soak/soak.py --program $(BUILD)/main/fuchsiagauged --seed $(SEED) --seeds $$(( $(MINUTES) * 6 )) --jobs 4
+
 # Overload benchmark on real processes, compared with the naive baseline; takes about 30 s per run.
 BENCH ?= --scenarios 1x,2x,5x,10x,surge-retries,slow-store --seeds 1,2
 bench: install build
