--- a/tests/soak/disturbances.py
+++ b/tests/soak/disturbances.py
@@ -23,7 +23,8 @@
 
     async def play(self, duration_s):
         end = self.fleet.record.now() + duration_s
-        actions = {"instances": (self.spoil_answers, self.spoil_answers, self.freeze_instance, self.restart_instance),
+        actions = {"instances": (self.spoil_answers, self.spoil_answers, self.freeze_instance, self.restart_instance,
+                                 self.replace_instance),
                    "links": (self.delay_link, self.reset_links, self.hold_links),
                    "nodes": (self.pause_node, self.kill_node, self.stop_node, self.reload_node),
                    "changes": (self.change_config,)}
@@ -36,11 +37,12 @@
 
     def draw(self):
         """Returns the duration, strength and targets of a disturbance."""
-        return (self.random.uniform(0.2, 1.0), self.random.random(), self.random.sample(range(8), 8),
+        numbers = range(len(self.fleet.nodes))
+        return (self.random.uniform(0.2, 1.0), self.random.random(), self.random.sample(numbers, len(numbers)),
                 self.random.sample(sorted(INSTANCE_FAULTS), 3))
 
     async def spoil_answers(self, length, strength, order, faults):
-        instances = [self.fleet.instances[number] for number in order[:(1, 3, 8)[int(strength * 3)]]]
+        instances = [self.fleet.instances[number] for number in order[:(1, 3, len(order))[int(strength * 3)]]]
         shares = {fault: INSTANCE_FAULTS[fault] * strength for fault in faults}
         self.fleet.record.write("fault", what="answers", shares=shares, instances=[entry.id for entry in instances])
         for instance in instances:
@@ -63,6 +65,16 @@
         instance.restart()
         await self.fleet.store.put(f"servers/{instance.id}", instance.get_entry())
 
+    async def replace_instance(self, length, _strength, order, _faults):
+        """Puts an instance with another id at an address; the store tells of it later."""
+        instance = self.fleet.instances[order[0]]
+        old_id, instance.id = instance.id, f"{instance.id.split('+')[0]}+{self.version}{order[1]}"
+        self.fleet.record.write("fault", what="replace", instances=[old_id, instance.id])
+        instance.restart()
+        await asyncio.sleep(length)
+        await self.fleet.store.delete(f"servers/{old_id}")
+        await self.fleet.store.put(f"servers/{instance.id}", instance.get_entry())
+
     def pick_links(self, order):
         return [link for (source, target), link in self.fleet.links.items()
                 if source in order[:2] or target in order[:2]]
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -14,7 +14,7 @@
 
 APP_PORT, PEERS_PORT, CALLERS_PORT, READY_PORT, STORE_PORT = 8301, 8300, 8304, 8302, 8309
 HOST = "shop.example"
-ZONES = {"west-a": "west", "west-b": "west", "east-a": "east", "east-b": "east"}
+NODES_PER_ZONE = 2  # Fewer than the nodes need to share what they read from the store.
 SLOTS = 40
 FIRST_NETWORK, NETWORKS = 20, 200  # Of the second numbers in 127.0.0.0/8.
 READY_TIMEOUT_S = 15
@@ -46,7 +46,7 @@
         store_ip = self.fleet.get_store_ip(self.number)
         settings = {
             "node": self.name, "service": self.instance.service, "zone": self.instance.zone,
-            "zones": [f"{zone}={region}" for zone, region in ZONES.items()],
+            "zones": [f"{zone}={region}" for zone, region in self.fleet.zones.items()],
             "target": {"address": f"{self.ip}:{APP_PORT}"},
             "listen": {"callers": f"{self.ip}:{CALLERS_PORT}", "peers": f"{self.ip}:{PEERS_PORT}",
                        "ready": f"{self.ip}:{READY_PORT}"},
@@ -115,19 +115,20 @@
 class Fleet:
     """Two nodes a zone, so that each reads the store by itself and sees the other VMs through links of its own."""
 
-    def __init__(self, record, folder, checkout, program, seed, services=("orders", "browse")):
+    def __init__(self, record, folder, checkout, program, seed, services=("orders", "browse"), zones=4):
         self.record = record
         self.folder = folder
         self.program = program
         with open(os.path.join(checkout, "deploy", "settings.template"), encoding="utf-8") as template:
             self.has_drain_setting = "drain_s" in template.read()
+        self.zones = {f"zone-{number}": ("west", "east")[number % 2] for number in range(zones)}
         self.network = self.find_network()
         self.store = Store(record)
         self.is_closing = False
         self.tasks = []
         self.instances = []
         self.nodes = []
-        for number, zone in enumerate([zone for zone in ZONES for _ in range(2)]):
+        for number, zone in enumerate([zone for zone in self.zones for _ in range(NODES_PER_ZONE)]):
             service = services[number % len(services)]
             address = (f"{self.network}.1.{10 + number}", APP_PORT)
             instance = Instance(record, f"i-{number:02d}", service, address, zone, SLOTS, f"{seed}/{number}")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -25,7 +25,7 @@
 
 
 async def play(arguments, seed, record, folder):
-    fleet = Fleet(record, folder, arguments.checkout, arguments.program, seed)
+    fleet = Fleet(record, folder, arguments.checkout, arguments.program, seed, zones=arguments.zones)
     clients = []
     try:
         await fleet.start()
@@ -84,6 +84,7 @@
     parser.add_argument("--only", default=",".join(disturbances.KINDS), help="kinds of disturbances, or none")
     parser.add_argument("--fault", action="append", default=[], metavar="NAME=SHARE",
                         help="a fault of all instances during the whole run")
+    parser.add_argument("--zones", type=int, default=4, help="availability zones, of two nodes each; at most 12")
     parser.add_argument("--rate", type=float, default=20, help="batches of requests a second at each node")
     parser.add_argument("--checkout", default=REPOSITORY, help="checkout whose settings the program reads")
     parser.add_argument("--program", default=os.path.join(REPOSITORY, "build", "main", "fuchsiagauged"))
