policy, mesh: Send a request that must run once to each instance once

Cause: the request id names the client's attempt, not the send. The gate sent a refused order up to six times, and the entry node once more to the last instance at its limit. On one connection an id is used once, but two sends to one instance can't be told apart by what it answers.

Now a request that must run once is sent to an instance once; a refused one goes to another instance or back to its client. Requests that may run more than once are sent again as before, and the tests of that now use such a route. aNonIdempotentRequestIsNeverSentToAnInstanceTwice and sendsARequestThatMustRunOnceToAnInstanceOnce failed before (6 sends).

--- a/mesh/local_target.cpp
+++ b/mesh/local_target.cpp
@@ -283,9 +283,13 @@
 /// Decides whether a request that the instance refused is sent to it again. An instance that refuses although
 /// it has free slots may accept the same request a moment later, and a local retry uses no network link. If
 /// so, the send is counted against the rate limit.
+///
+/// A non-idempotent request is sent to an instance only once: a late copy of its refusal could not be told
+/// from the response to a second send, which may be running.
 bool local_target::mayRetryLocally(const active_request& active, const outgoing_result& outgoing)
 {
-    if (!outgoing.isAnswered || active.sendCount >= maxSends || m_gate.isClosed())
+    if (!active.call.isIdempotent || !outgoing.isAnswered || active.sendCount >= maxSends
+        || m_gate.isClosed())
         return false;
     const auto info = m_protocol.parseResponse(outgoing.head);
     if (!info.isRejected || info.isMisdirected || info.isFull)
--- a/tests/mesh/mesh_node_test.cpp
+++ b/tests/mesh/mesh_node_test.cpp
@@ -220,7 +220,7 @@
                  : test_mesh::makeRespondingHandler(200))(call);
     };
     mesh.publishInstances();
-    mesh.publishRules(test_mesh::makeRules("orders", false));
+    mesh.publishRules(test_mesh::makeRules("orders", true));
     const auto& response = mesh.await(mesh.send(entry, "id-1", "/x", { { "Request-Deadline", "900" } }));
     LONGS_EQUAL(200, response.head.status);
     CHECK_EQUAL(2U, only.received.size());
@@ -232,6 +232,23 @@
     }));
 }
 
+// A late copy of the refusal could not be told from the response to a second send there, which may be
+// running.
+TEST(mesh_node, sendsARequestThatMustRunOnceToAnInstanceOnce)
+{
+    auto& entry = mesh.addVm("i-1", "front");
+    auto& first = mesh.addVm("i-2", "orders", "a");
+    auto& second = mesh.addVm("i-3", "orders", "b");
+    for (auto* refusing : { &first, &second })
+        refusing->handler
+            = test_mesh::makeRespondingHandler(503, { { "Not-Run", "1" }, { "Server-Load", "0,0,2" } });
+    mesh.publishInstances();
+    mesh.publishRules(test_mesh::makeRules("orders", false));
+    LONGS_EQUAL(503, mesh.await(mesh.send(entry, "id-1")).head.status);
+    CHECK_EQUAL(1U, first.received.size());
+    CHECK_EQUAL(1U, second.received.size());
+}
+
 TEST(mesh_node, forwardsABadRequestStatusWithoutRetry)
 {
     auto& entry = mesh.addVm("i-1", "front");
--- a/tests/policy/attempt_history_test.cpp
+++ b/tests/policy/attempt_history_test.cpp
@@ -61,11 +61,20 @@
     CHECK_FALSE(history.mayRetry(attempt_outcome::Lost, downstream_failure::None));
 }
 
-TEST(attempt_history, atTheLimitOnlyTheRejectingInstanceMayBeTried)
+TEST(attempt_history, aNonIdempotentRequestIsNeverSentToAnInstanceTwice)
 {
     attempt_history history(1, false);
     history.onSend("i-1");
     history.onEnd(attempt_outcome::Rejected);
+    CHECK_FALSE(history.mayRetry(attempt_outcome::Rejected, downstream_failure::None));
+    CHECK(history.getRequiredInstance().empty());
+}
+
+TEST(attempt_history, atTheLimitOnlyTheRejectingInstanceMayBeTried)
+{
+    attempt_history history(1, true);
+    history.onSend("i-1");
+    history.onEnd(attempt_outcome::Rejected);
     CHECK(history.mayRetry(attempt_outcome::Rejected, downstream_failure::None));
     STRCMP_EQUAL("i-1", history.getRequiredInstance().c_str());
 }
