--- a/tests/soak/disturbances.py
+++ b/tests/soak/disturbances.py
@@ -7,7 +7,7 @@
 KINDS = ("instances", "links", "nodes", "changes")
 INSTANCE_FAULTS = {
     "refuse": 0.4, "refuse_unnamed": 0.5, "copy": 0.2, "copy_now": 0.2, "mix": 0.35, "greet": 0.2, "unnamed": 0.2,
-    "noise": 0.1, "cut": 0.2, "lose": 0.2, "mute": 0.05, "unframed": 0.2}
+    "noise": 0.1, "stray": 0.5, "cut": 0.2, "lose": 0.2, "mute": 0.05, "unframed": 0.2}
 MEAN_GAP_S = 0.5
 
 
