--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -18,7 +18,7 @@
 /// another instance or responds with an error. The request is reported as not run only if no instance can
 /// have run it. A non-idempotent request is sent again only if no instance can have run it: an instance that
 /// may have received even one byte of it counts as having run it, unless that instance or its node refused
-/// it.
+/// it. No instance receives a non-idempotent request twice.
 class outbound_call : public std::enable_shared_from_this<outbound_call> {
 public:
     /// @param context the node's components; must outlive the call.
--- a/policy/attempt_history.h
+++ b/policy/attempt_history.h
@@ -11,7 +11,8 @@
 ///
 /// Only instances that received the request count towards the route's limit on instances; an attempt that was
 /// refused on the way to its instance does not. A request that is not idempotent is never sent again after an
-/// instance may have run it.
+/// instance may have run it, and never to an instance that has received it: responses name the request, so
+/// the response to a second send could not be told from a late copy of the first one.
 class attempt_history {
 public:
     /// @param maxInstances largest number of instances that may receive the request.
@@ -29,9 +30,9 @@
     /// @return whether another attempt may follow.
     bool mayRetry(attempt_outcome outcome, downstream_failure downstreamFailure) const;
 
-    /// @return the only instance that may be tried next: the last one that received the request, once the
-    /// limit on instances is reached and the request has certainly not run; empty if there is no such
-    /// restriction.
+    /// @return the only instance that may be tried next: the last one that received the idempotent request,
+    /// once the limit on instances is reached and the request has certainly not run; empty if there is no
+    /// such restriction.
     std::string getRequiredInstance() const;
 
     /// @return whether any instance has received the request.
