--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -39,10 +39,8 @@
         self.outbound = (self.ip, CALLERS_PORT)
         self.process = None
         self.end_cause = None  # Why the process is about to end; None if it should not.
-        self.stopped_at = None
 
     def write_settings(self):
-        bounds = BOUNDS
         store_ip = self.fleet.get_store_ip(self.number)
         settings = {
             "node": self.name, "service": self.instance.service, "zone": self.instance.zone,
@@ -50,11 +48,11 @@
             "target": {"address": f"{self.ip}:{APP_PORT}"},
             "listen": {"callers": f"{self.ip}:{CALLERS_PORT}", "peers": f"{self.ip}:{PEERS_PORT}",
                        "ready": f"{self.ip}:{READY_PORT}"},
-            "platform": {"address": f"{store_ip}:{STORE_PORT}", "apply_s": bounds["apply_s"]},
-            "limits": {"memory_mb": 260}, "stop": {"grace_s": bounds["grace_s"]},
-            "repeats": {key: bounds[key] for key in ("ratio", "window_s", "extra")}}
+            "platform": {"address": f"{store_ip}:{STORE_PORT}", "apply_s": BOUNDS["apply_s"]},
+            "limits": {"memory_mb": 260}, "stop": {"grace_s": BOUNDS["grace_s"]},
+            "repeats": {key: BOUNDS[key] for key in ("ratio", "window_s", "extra")}}
         if self.fleet.has_drain_setting:
-            settings["platform"]["drain_s"] = bounds["drain_s"]
+            settings["platform"]["drain_s"] = BOUNDS["drain_s"]
         path = os.path.join(self.fleet.folder, f"{self.name}.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
@@ -113,7 +111,11 @@
 
 
 class Fleet:
-    """Two nodes a zone, so that each reads the store by itself and sees the other VMs through links of its own."""
+    """Two nodes a zone, so that each reads the store by itself and sees the other VMs through links of its own.
+
+    Addresses: 127.N.1.X for the VM with number X - 10, 127.N.2.X for its view of the store, and 127.N.(100 + S).X for
+    its peers' listener as VM S reaches it.
+    """
 
     def __init__(self, record, folder, checkout, program, seed, services=("orders", "browse"), zones=4):
         self.record = record
--- a/tests/soak/instance.py
+++ b/tests/soak/instance.py
@@ -10,6 +10,7 @@
 
 REFUSALS = ("503 Service Unavailable", "429 Too Many Requests")
 POLL_S = 0.005
+MUTE_S = 20  # Longer than any client waits.
 
 
 class Connection:
@@ -60,9 +61,9 @@
         self.thawed = asyncio.Event()
         self.thawed.set()
         self.outbound = None  # Address of the node's listener for its own calls.
-        self.start_of_life()
+        self.reset_state()
 
-    def start_of_life(self):
+    def reset_state(self):
         self.running = 0
         self.waiting = 0
         self.free = asyncio.Condition()
@@ -79,7 +80,7 @@
         """Ends all connections and starts again under the same id."""
         for connection in list(self.connections):
             connection.reset()
-        self.start_of_life()
+        self.reset_state()
 
     def hits(self, fault):
         return self.random.random() < self.faults.get(fault, 0)
@@ -135,19 +136,19 @@
         if is_full or self.hits("refuse"):
             self.refusals[request_id] = self.make_refusal(request_id)
             return self.answer(connection, request_id, self.refusals[request_id])
-        life = self.free
-        async with life:
+        free = self.free  # A restarted instance has another condition, and none of the requests of before.
+        async with free:
             self.waiting += 1
-            await life.wait_for(lambda: self.running < self.slots)
+            await free.wait_for(lambda: self.running < self.slots)
             self.waiting -= 1
             self.running += 1
         try:
             return await self.run(connection, head, body, request_id)
         finally:
-            async with life:
-                if life is self.free:
+            async with free:
+                if free is self.free:
                     self.running -= 1
-                life.notify_all()
+                free.notify_all()
 
     async def run(self, connection, head, body, request_id):
         method, path, _ = head.first_line.split(" ")
@@ -166,13 +167,17 @@
         self.record.write("ran", id=request_id, instance=self.id, status=status[:3], dropped=is_gone)
         if is_gone:
             return False
-        content = wire.make_body(request_id, int(size)) if status[:3] == "200" else b"failed"
+        return await self.give_result(connection, request_id, status, int(size))
+
+    async def give_result(self, connection, request_id, status, size):
+        """Gives the answer to a request that has run, or loses it. Returns whether the connection goes on."""
+        content = wire.make_body(request_id, size) if status[:3] == "200" else b"failed"
         fields = self.make_fields(request_id) + [("Server-Stamp", f"{self.id}.{request_id}.{status[:3]}")]
         if self.hits("lose"):
             connection.reset()
             return False
         if self.hits("mute"):
-            await asyncio.sleep(20)
+            await asyncio.sleep(MUTE_S)
             return False
         if self.hits("unframed"):
             connection.writer.write(wire.format_head(f"HTTP/1.1 {status}", fields) + content)
--- a/tests/soak/judge_test.py
+++ b/tests/soak/judge_test.py
@@ -17,7 +17,8 @@
                 "caller": "browse"}
 
     def answer(request_id):
-        return {"kind": "answered", "id": request_id, "status": 200, "stamp": f"i-1.{request_id}.200", "size": 100, "whole": True}
+        return {"kind": "answered", "id": request_id, "status": 200, "stamp": f"i-1.{request_id}.200", "size": 100,
+                "whole": True}
 
     events = []
     for request_id, method, once in (("order", "POST", True), ("read", "GET", False)):
--- a/tests/soak/planned_stop.py
+++ b/tests/soak/planned_stop.py
@@ -43,6 +43,10 @@
         self.end_at = None
         self.outcome = None
 
+    def describe(self):
+        return " ".join([self.id, "peer" if self.is_peer else "client", "kept" if self.is_kept else "new",
+                         "whole" if self.is_whole else "in parts", self.prefix, f"{self.work_ms} ms"])
+
 
 async def open_connection(ip):
     return await asyncio.wait_for(asyncio.open_connection(ip, CALLERS_PORT), CONNECT_TIMEOUT_S)
@@ -144,8 +148,7 @@
     for attempt in sorted(set(lost + cut), key=attempts.index):
         run = runs.get(attempt.id)
         work = f"ran from {run['from']:.2f} s to {run['until']:.2f} s" if run else "did not run"
-        print(f"    {'LOST' if attempt in lost else 'cut, excused'} {attempt.id} {'peer' if attempt.is_peer else 'client'}, {'kept' if attempt.is_kept else 'new'}, "
-              f"{'whole' if attempt.is_whole else 'in parts'}, {attempt.prefix} {attempt.work_ms} ms: sent at "
+        print(f"    {'LOST' if attempt in lost else 'cut, excused'} {attempt.describe()}: sent at "
               f"{attempt.sent_at:.2f} s, {attempt.outcome} at {attempt.end_at:.2f} s, {work}")
     ends = [event for event in record.events if event["kind"] in ("ended", "killed-at-grace-end", "signal")]
     print("; ".join(f"{event['at'] - ends[0]['at']:.2f} s {event['kind']} {event['node']}" for event in ends))
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -31,7 +31,7 @@
         await fleet.start()
         for node in fleet.nodes:
             for number in range(CLIENTS_PER_NODE):
-                name = f"{node.number}.{number}".replace(".", "x")
+                name = f"{node.number}x{number}"
                 clients.append(Client(record, node, name, f"{seed}/{name}", arguments.rate / CLIENTS_PER_NODE))
         tasks = [asyncio.ensure_future(client.play()) for client in clients]
         if arguments.fault:
