platform, mesh: Identify organisations by their keys; read the pace of shared VMs

Cause: nothing knew organisations, so clients' keys were passed on to instances and unknown ones accepted. The load header of instances on shared VMs has a fourth figure, which was taken for the number of slots. Downloads counted as requests that must run once.

Change: the configuration's table of organisations becomes part of the traffic rules; keys are kept as digests only. The entry node identifies each request, answers 401 to unknown keys and removes the key; the instance is told the organisation. Its priority goes before that of the route. The pace is read apart from the slots.

--- a/core/peer_envelope.cpp
+++ b/core/peer_envelope.cpp
@@ -76,6 +76,15 @@
     return false;
 }
 
+int combinePriorities(std::optional<int> organisationPriority, int routePriority)
+{
+    constexpr int routePriorityCount = 64; // Lower route priorities are not told apart.
+    constexpr int maxOrganisationPriority = 1000000;
+    const int minor = std::clamp(routePriority, 0, routePriorityCount - 1);
+    const int major = std::clamp(organisationPriority.value_or(minor), 0, maxOrganisationPriority);
+    return major * routePriorityCount + minor;
+}
+
 std::string formatPeerCall(const peer_call& call)
 {
     return std::to_string(call.priority) + ' ' + formatTime(call.startWithin) + ' '
@@ -115,6 +124,20 @@
     return call;
 }
 
+std::string formatPeerOrganisation(const peer_call& call)
+{
+    return (call.isOrganisationInherited ? "1 " : "0 ") + call.organisation;
+}
+
+void parsePeerOrganisation(const std::string* value, peer_call& call)
+{
+    constexpr std::size_t nameOffset = 2; // Behind the flag and a space.
+    if (!value || value->size() <= nameOffset)
+        return;
+    call.isOrganisationInherited = value->front() == '1';
+    call.organisation = value->substr(nameOffset);
+}
+
 std::string formatPeerReply(const peer_reply& reply)
 {
     return std::string(getAttemptOutcomeName(reply.outcome)) + ' ' + std::to_string(reply.busy) + ' '
--- a/core/peer_envelope.h
+++ b/core/peer_envelope.h
@@ -10,6 +10,10 @@
 /// Number of ranks; a request has a rank from 0 to rankCount - 1.
 constexpr int rankCount = 1024;
 
+/// Combines the priority of an organisation with that of a route, so that the organisation's goes first.
+/// @param organisationPriority nothing: the request counts with the priority of its route.
+int combinePriorities(std::optional<int> organisationPriority, int routePriority);
+
 /// Whether a request is a retry or part of one.
 enum class retry_kind {
     None, ///< The request is sent for the first time.
@@ -35,6 +39,10 @@
     std::optional<double> rateLimit;
     std::string callerService; ///< Service of the VM where the request originated.
     std::string requestId;
+    /// Organisation that the request counts for; empty if it has none. Sent apart from the other metadata.
+    std::string organisation;
+    /// The organisation is that of the parent request: the request has no key of its own.
+    bool isOrganisationInherited = false;
 };
 
 /// Outcome of an attempt to send a request to an instance.
@@ -88,6 +96,8 @@
     /// Requests per second that the instance takes at most from all nodes together, as far as the sending
     /// node knows; absent if there is no limit. In calls and in replies.
     constexpr const char* rateLimit = "fg-limit";
+    /// The organisation of the call; absent if it has none.
+    constexpr const char* organisation = "fg-organisation";
     /// Present in replies if the instance has announced that it is about to stop.
     constexpr const char* leaving = "fg-leaving";
 }
@@ -95,6 +105,13 @@
 /// @return the call metadata as a header value.
 std::string formatPeerCall(const peer_call& call);
 
+/// @return the organisation of a call as a header value.
+std::string formatPeerOrganisation(const peer_call& call);
+
+/// Sets the organisation of a call from a header value.
+/// @param value the header value; null if the field is missing.
+void parsePeerOrganisation(const std::string* value, peer_call& call);
+
 /// @return the call metadata parsed from a header value, or nothing with error_kind::BadPeerMessage.
 std::optional<peer_call> parsePeerCall(const std::string& value);
 
--- a/core/traffic_rules.cpp
+++ b/core/traffic_rules.cpp
@@ -1,5 +1,7 @@
 #include "core/traffic_rules.h"
 
+#include "core/digest.h"
+
 #include <strings.h>
 
 namespace fuchsiagauge {
@@ -7,9 +9,9 @@
 bool operator==(const call_route& a, const call_route& b)
 {
     return std::tie(a.name, a.host, a.pathPrefix, a.destinations, a.isIdempotent, a.maxInstances, a.timeout,
-               a.latencyTarget, a.priority)
+               a.latencyTarget, a.priority, a.isAnonymous)
         == std::tie(b.name, b.host, b.pathPrefix, b.destinations, b.isIdempotent, b.maxInstances, b.timeout,
-            b.latencyTarget, b.priority);
+            b.latencyTarget, b.priority, b.isAnonymous);
 }
 
 bool operator==(const client_limits& a, const client_limits& b)
@@ -20,8 +22,17 @@
 
 bool operator==(const traffic_rules& a, const traffic_rules& b)
 {
-    return std::tie(a.version, a.routes, a.services, a.limits)
-        == std::tie(b.version, b.routes, b.services, b.limits);
+    return std::tie(a.version, a.routes, a.services, a.limits, a.organisations, a.organisationsByKeyDigest)
+        == std::tie(b.version, b.routes, b.services, b.limits, b.organisations, b.organisationsByKeyDigest);
+}
+
+const organisation* traffic_rules::findOrganisation(const std::string& key) const
+{
+    const auto holder = organisationsByKeyDigest.find(computeDigest(key));
+    if (holder == organisationsByKeyDigest.end())
+        return nullptr;
+    const auto found = organisations.find(holder->second);
+    return found == organisations.end() ? nullptr : &found->second;
 }
 
 const call_route* traffic_rules::findRoute(const std::string& host, const std::string& path) const
--- a/core/traffic_rules.h
+++ b/core/traffic_rules.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/organisation.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -34,6 +35,7 @@
     milliseconds timeout { 5000 }; ///< Maximum time from the arrival of a request to its response.
     milliseconds latencyTarget { 1000 }; ///< Latency up to which a response has its full value.
     int priority = 0; ///< 0 is the most important, shed last.
+    bool isAnonymous = false; ///< Requests need no key, even if there are organisations.
 
     friend bool operator==(const call_route& a, const call_route& b);
     friend bool operator!=(const call_route& a, const call_route& b) { return !(a == b); }
@@ -62,12 +64,22 @@
     friend bool operator!=(const client_limits& a, const client_limits& b) { return !(a == b); }
 };
 
-/// One version of the operators' routes, services and client limits.
+/// One version of the operators' routes, services, organisations and client limits.
 struct traffic_rules {
     std::uint64_t version = 0; ///< 0 if no rules have been received yet.
     std::vector<call_route> routes;
     std::map<std::string, service_description> services;
     client_limits limits;
+    std::map<std::string, organisation> organisations; ///< By name; if empty, requests need no key.
+    /// Name of the organisation that holds a key, by the digest of the key. The keys themselves are not kept,
+    /// so that they can't appear in any output.
+    std::map<std::string, std::string> organisationsByKeyDigest;
+
+    /// @return whether requests are identified by the key of an organisation.
+    bool hasOrganisations() const { return !organisations.empty(); }
+
+    /// @return the organisation that holds a key, or null.
+    const organisation* findOrganisation(const std::string& key) const;
 
     /// Finds the route of a request.
     /// @param host host of the request, without the port; compared without regard to case.
--- a/mesh/inbound_call.cpp
+++ b/mesh/inbound_call.cpp
@@ -74,6 +74,10 @@
     call->rateLimit = parseRateLimit(request.fields.find(peer_header::rateLimit));
     request.fields.erase(peer_header::call);
     request.fields.erase(peer_header::rateLimit);
+    parsePeerOrganisation(request.fields.find(peer_header::organisation), *call);
+    request.fields.erase(peer_header::organisation);
+    if (context.rules->hasOrganisations())
+        context.protocol.removeOrganisationFields(request.fields);
     // The other node can still send a request that must run once elsewhere, but no longer once it is cut off.
     const bool mayBeCutOff
         = context.endsAt && !call->isIdempotent && context.time.now() + call->timeLeft > *context.endsAt;
--- a/mesh/local_target.cpp
+++ b/mesh/local_target.cpp
@@ -126,7 +126,7 @@
         return std::nullopt;
     const auto& active = m_activeRequests.at(found->second);
     return parent_request { active.call.priority, active.call.depth, active.call.rank,
-        active.call.retryKind != retry_kind::None, active.expiresAt };
+        active.call.retryKind != retry_kind::None, active.expiresAt, active.call.organisation };
 }
 
 void local_target::recordDownstreamFailure(const std::string& requestId, downstream_failure failure)
@@ -196,7 +196,9 @@
     outgoing.id = active.call.requestId;
     const auto timeLeft = std::max(milliseconds(1), active.expiresAt - now);
     m_protocol.addTargetFields(
-        { active.call.instance, timeLeft, active.call.callerService }, outgoing.request.fields);
+        { active.call.instance, timeLeft, active.call.callerService,
+            active.call.isOrganisationInherited ? std::string() : active.call.organisation },
+        outgoing.request.fields);
     if (!active.call.isIdempotent)
         outgoing.maxIdleTime = maxIdleForNonIdempotent;
     outgoing.matchResponse = [this, requestId = active.call.requestId](const response_head& head) {
--- a/mesh/local_target.h
+++ b/mesh/local_target.h
@@ -37,6 +37,7 @@
     int rank = 0;
     bool isRetry = false; ///< An instance may already have seen this request or a request it was made for.
     milliseconds expiresAt;
+    std::string organisation; ///< Organisation that the request counts for; empty if it has none.
 };
 
 /// Called when an attempt has ended.
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -15,6 +15,7 @@
     /// Share of the parent's remaining time that one downstream call may lose: a parent makes about five
     /// calls one after the other.
     constexpr double callSlackShare = 0.2;
+    constexpr int unauthorizedStatus = 401;
     constexpr int notFoundStatus = 404;
     constexpr int requestTimeoutStatus = 408;
     constexpr int misdirectedStatus = 421;
@@ -106,10 +107,48 @@
     m_service = m_context.splitter.choose(*m_route);
     m_history = attempt_history(m_route->maxInstances, m_route->isIdempotent);
     inheritFromParent();
+    if (!identifyOrganisation())
+        return false;
     m_context.protocol.sanitizeClientFields(request.fields);
     return true;
 }
 
+/// Finds the organisation whose key the request has, if the rules ask for one, and removes the key from the
+/// request.
+/// @return whether the request may go on; if not, it has been answered.
+bool outbound_call::identifyOrganisation()
+{
+    if (!m_rules->hasOrganisations())
+        return true;
+    m_context.protocol.removeOrganisationFields(m_incoming->getRequest().fields);
+    const auto key = std::exchange(m_clientInfo.organisationKey, std::nullopt);
+    if (m_route->isAnonymous || (!key && m_parent))
+        return true;
+    if (!key && !m_clientInfo.parentId.empty()) {
+        respondWithError(unavailableStatus, "no-parent",
+            "a call without a key whose parent request is not running here",
+            getRetryAfterS(attempt_outcome::NoRoom));
+        return false;
+    }
+    m_organisation = key ? m_rules->findOrganisation(*key) : nullptr;
+    if (m_organisation)
+        return true;
+    respondWithError(unauthorizedStatus, key ? "unknown-key" : "no-key",
+        key ? "no organisation holds the key" : "the route asks for a key", std::nullopt);
+    return false;
+}
+
+/// @return the priority of the request: that of the organisation first, then that of the route.
+int outbound_call::getPriority() const
+{
+    if (m_parent)
+        return m_parent->priority;
+    if (!m_rules->hasOrganisations())
+        return m_route->priority;
+    const auto organisationPriority = m_organisation ? m_organisation->priority : std::nullopt;
+    return combinePriorities(organisationPriority, m_route->priority);
+}
+
 /// Looks up the request that the local instance makes this call for. The call inherits its priority and
 /// expires with it at the latest.
 void outbound_call::inheritFromParent()
@@ -200,7 +239,7 @@
     m_history.onSend(m_instance);
     m_context.picker.onSend(m_instance, now);
     peer_call call;
-    call.priority = m_parent ? m_parent->priority : m_route->priority;
+    call.priority = getPriority();
     call.depth = m_parent ? m_parent->depth + 1 : 0;
     call.rank = m_parent ? m_parent->rank : m_rank;
     call.retryKind = getRetryKind();
@@ -211,6 +250,12 @@
     call.rateLimit = m_context.picker.getRateLimit(m_instance);
     call.callerService = m_context.config.service;
     call.requestId = m_clientInfo.requestId;
+    if (m_organisation) {
+        call.organisation = m_organisation->name;
+    } else if (m_parent) {
+        call.organisation = m_parent->organisation;
+        call.isOrganisationInherited = true;
+    }
     recordSpillover(chosen);
     if (chosen.record.target != m_context.config.target) {
         sendToPeer(chosen, call);
@@ -255,6 +300,8 @@
     outgoing.request.fields.add(peer_header::call, formatPeerCall(call));
     if (call.rateLimit)
         outgoing.request.fields.add(peer_header::rateLimit, formatRateLimit(*call.rateLimit));
+    if (!call.organisation.empty())
+        outgoing.request.fields.add(peer_header::organisation, formatPeerOrganisation(call));
     outgoing.expiresAt = m_expiresAt;
     const address peer { chosen.record.target.host, m_context.config.peersListener.port };
     m_attempt->peerRequest = m_context.peerPools.get(peer).send(
--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -49,6 +49,8 @@
 
     bool selectRoute();
     void inheritFromParent();
+    bool identifyOrganisation();
+    int getPriority() const;
     void recordDownstreamFailure(downstream_failure failure);
     pick_request makePickRequest(milliseconds now) const;
     const instance_directory::entry* chooseInstance(milliseconds now);
@@ -86,6 +88,7 @@
     client_request_info m_clientInfo;
     /// The running request that the local instance makes this call for.
     std::optional<parent_request> m_parent;
+    const organisation* m_organisation = nullptr; ///< Whose key the request has; belongs to `m_rules`.
     std::string m_service;
     milliseconds m_expiresAt;
     attempt_history m_history { 1, false };
--- a/tests/platform/platform_protocol_test.cpp
+++ b/tests/platform/platform_protocol_test.cpp
@@ -49,7 +49,7 @@
     fields.add("Accept", "*/*");
     protocol.sanitizeClientFields(fields);
     CHECK_EQUAL(1U, fields.getAll().size());
-    protocol.addTargetFields({ "i-1", milliseconds(700), "catalogue" }, fields);
+    protocol.addTargetFields({ "i-1", milliseconds(700), "catalogue", {} }, fields);
     STRCMP_EQUAL("i-1", fields.get("Expect-Instance").c_str());
     STRCMP_EQUAL("700", fields.get("Request-Deadline").c_str());
     STRCMP_EQUAL("catalogue", fields.get("Caller-Service").c_str());
@@ -69,6 +69,18 @@
     CHECK_FALSE(protocol.parseResponse(makeHead(503, { { "Server-Load", "many,0,8" } })).isFull);
 }
 
+// Taken for the slots, the pace would open or close slots that the instance doesn't have.
+TEST(platform_protocol, parsesThePaceOfASharedVm)
+{
+    const auto info = protocol.parseResponse(makeHead(200, { { "Server-Load", "75,3,75,140" } }));
+    LONGS_EQUAL(75, info.slots);
+    CHECK(info.isFull);
+    DOUBLES_EQUAL(1.4, info.slowdown.value_or(0), 0.001);
+    CHECK_FALSE(protocol.parseResponse(makeHead(200, { { "Server-Load", "3,0,8" } })).slowdown.has_value());
+    CHECK_FALSE(protocol.parseResponse(makeHead(200, { { "Server-Load", "3,0,8,0" } })).slowdown.has_value());
+    LONGS_EQUAL(0, protocol.parseResponse(makeHead(200, { { "Server-Load", "3,0" } })).slots);
+}
+
 // Only a refusal with the statement, and without the stamp of a run, tells that a request has not run.
 TEST(platform_protocol, takesNoContradictoryResponseForARefusal)
 {
--- a/tests/platform/store_documents_test.cpp
+++ b/tests/platform/store_documents_test.cpp
@@ -54,6 +54,57 @@
     }
 }
 
+TEST(store_documents, readsKindsOfRoutes)
+{
+    const auto isIdempotent = [](const std::string& kind) {
+        const auto rules
+            = readStoredRules(R"({"version":"1","routes":{"r":{"host":"a","prefix":"/","service":"s",
+            "anonymous":true,"routeKind":")"
+                + kind + "\"}}}");
+        CHECK(rules->routes[0].isAnonymous);
+        return rules->routes[0].isIdempotent;
+    };
+    CHECK(isIdempotent("idempotent"));
+    CHECK(isIdempotent("download"));
+    CHECK_FALSE(isIdempotent("non_idempotent"));
+    CHECK_FALSE(isIdempotent("upload"));
+    CHECK_FALSE(isIdempotent("unheard-of"));
+}
+
+TEST(store_documents, readsOrganisations)
+{
+    const auto rules = readStoredRules(R"({"version":"1","routes":{},"tenants":{
+        "acme":{"apiKeys":["k1","k2"],"priority":1,"ratePerS":471.5,"burst":20},"small":{"apiKeys":[]}}})");
+    CHECK(rules.has_value());
+    CHECK_EQUAL(2U, rules->organisations.size());
+    const auto* acme = rules->findOrganisation("k2");
+    STRCMP_EQUAL("acme", acme->name.c_str());
+    LONGS_EQUAL(1, acme->priority.value_or(-1));
+    DOUBLES_EQUAL(471.5, acme->ratePerSecond, 0.001);
+    DOUBLES_EQUAL(20, acme->burst, 0.001);
+    DOUBLES_EQUAL(0, rules->organisations.at("small").ratePerSecond, 0.001);
+    CHECK_FALSE(rules->organisations.at("small").priority.has_value());
+    POINTERS_EQUAL(nullptr, rules->findOrganisation("k3"));
+    POINTERS_EQUAL(nullptr, rules->findOrganisation(""));
+}
+
+// A document that gives a key to the wrong organisation, or loses a limit, must not take effect; and no
+// reason may show a key.
+TEST(store_documents, rejectsInvalidOrganisations)
+{
+    for (const char* organisations :
+        { "[]", R"({"a":{"apiKeys":["secret"]},"b":{"apiKeys":["secret"]}})", R"({"a":{}})", R"({"a":[]})",
+            R"({"a":{"apiKeys":["secret",7]}})", R"({"a":{"apiKeys":[""]}})",
+            R"({"a":{"apiKeys":["secret"],"ratePerS":-1}})", R"({"a":{"apiKeys":["secret"],"burst":"many"}})",
+            R"({"a":{"apiKeys":["secret"],"priority":1e300}})", R"({"a\r\nb":{"apiKeys":["secret"]}})",
+            R"({"":{"apiKeys":["secret"]}})" }) {
+        const auto text = std::string(R"({"version":"1","routes":{},"tenants":)") + organisations + '}';
+        CHECK_FALSE(readStoredRules(text).has_value());
+        CHECK(error_kind::BadDocument == getLastError().kind);
+        CHECK(getLastError().detail.find("secret") == std::string::npos);
+    }
+}
+
 TEST(store_documents, readsValidInstance)
 {
     const auto record = readStoredInstance("i-1", validEntry);
