policy, mesh: Place requests by the pace that instances on shared VMs state

Cause: other work on a shared VM makes its instance slower for some hundred milliseconds at a time. The estimate of an instance's run time covers the last seconds only, so requests went on to instances that stated that they were slow.

Change: the statement goes with each reply between nodes, with its age (fg-pace), and lengthens the expected run time of the instance. It loses half of its effect each 200 ms.

--- a/core/peer_envelope.h
+++ b/core/peer_envelope.h
@@ -96,6 +96,8 @@
     /// Requests per second that the instance takes at most from all nodes together, as far as the sending
     /// node knows; absent if there is no limit. In calls and in replies.
     constexpr const char* rateLimit = "fg-limit";
+    /// Pace of the instance and the age of that statement; absent if it states none or the usual one.
+    constexpr const char* pace = "fg-pace";
     /// The organisation of the call; absent if it has none.
     constexpr const char* organisation = "fg-organisation";
     /// Present in replies if the instance has announced that it is about to stop.
--- a/mesh/inbound_call.cpp
+++ b/mesh/inbound_call.cpp
@@ -1,6 +1,7 @@
 #include "mesh/inbound_call.h"
 
 #include "core/peer_envelope.h"
+#include "mesh/pace_header.h"
 
 #include <utility>
 
@@ -53,6 +54,8 @@
                 peer_header::rejectedShare, formatRejectedShare(result.load.rejectedShare));
         if (result.load.rateLimit)
             result.head.fields.add(peer_header::rateLimit, formatRateLimit(*result.load.rateLimit));
+        if (result.load.pace.slowdown != 1)
+            result.head.fields.add(peer_header::pace, formatPace(result.load.pace));
         if (result.isInstanceLeaving)
             result.head.fields.add(peer_header::leaving, "1");
         incoming.respond(result.head, result.body);
--- a/mesh/local_target.cpp
+++ b/mesh/local_target.cpp
@@ -165,6 +165,7 @@
 {
     m_pool.closeIdle();
     m_hasResponded = false;
+    m_slowdown = 1;
     m_isInstanceLeaving = false;
     m_gate.setRateLimit(std::nullopt, m_time.now());
 }
@@ -251,10 +252,18 @@
     active.onEnd(std::move(result));
 }
 
+slot_report local_target::getLoad() const
+{
+    auto report = m_gate.getReport();
+    if (m_slowdown != 1)
+        report.pace = { m_slowdown, m_time.now() - m_slowdownAt };
+    return report;
+}
+
 /// Adds what is known of the instance to the result of an attempt.
 void local_target::describeInstance(attempt_result& result) const
 {
-    result.load = m_gate.getReport();
+    result.load = getLoad();
     result.hasLoad = true;
     result.isInstanceLeaving = m_isInstanceLeaving;
 }
@@ -276,6 +285,8 @@
 void local_target::recordStatements(const target_response_info& info)
 {
     m_hasResponded = true;
+    m_slowdown = info.slowdown.value_or(1);
+    m_slowdownAt = m_time.now();
     m_isInstanceLeaving = m_isInstanceLeaving || info.isLeaving;
     // A rejection without a limit does not show that the limit has ended.
     if (info.rateLimit || !info.isRejected)
--- a/mesh/local_target.h
+++ b/mesh/local_target.h
@@ -95,8 +95,8 @@
     /// Closes idle connections and forgets what the instance has stated. Used after it has been replaced.
     void onInstanceReplaced();
 
-    /// @return the slots of the instance and the requests waiting for them.
-    slot_report getLoad() const { return m_gate.getReport(); }
+    /// @return the slots of the instance, the requests waiting for them and the pace that it has stated.
+    slot_report getLoad() const;
 
 private:
     /// A request that waits for a slot or runs on the instance.
@@ -137,6 +137,8 @@
     std::unordered_map<std::string, std::uint64_t> m_runningIds;
     std::uint64_t m_lastId = 0;
     bool m_hasResponded = false; ///< Whether this start of the instance has responded to a request.
+    double m_slowdown = 1; ///< As the instance has last stated it.
+    milliseconds m_slowdownAt;
     bool m_isInstanceLeaving = false; ///< Whether this start of the instance has announced that it stops.
 };
 
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -1,6 +1,7 @@
 #include "mesh/outbound_call.h"
 
 #include "core/text_fields.h"
+#include "mesh/pace_header.h"
 
 #include <algorithm>
 #include <utility>
@@ -330,13 +331,15 @@
     result.outcome = reply->outcome;
     result.load = { reply->busy, reply->waiting, reply->slots, reply->serviceTime,
         parseRejectedShare(outgoing.head.fields.find(peer_header::rejectedShare)),
-        parseRateLimit(outgoing.head.fields.find(peer_header::rateLimit)) };
+        parseRateLimit(outgoing.head.fields.find(peer_header::rateLimit)),
+        parsePace(outgoing.head.fields.find(peer_header::pace)) };
     result.hasLoad = true;
     result.isInstanceLeaving = outgoing.head.fields.find(peer_header::leaving) != nullptr;
     result.downstreamFailure = reply->downstreamFailure;
     outgoing.head.fields.erase(peer_header::reply);
     outgoing.head.fields.erase(peer_header::rejectedShare);
     outgoing.head.fields.erase(peer_header::rateLimit);
+    outgoing.head.fields.erase(peer_header::pace);
     outgoing.head.fields.erase(peer_header::leaving);
     result.head = std::move(outgoing.head);
     if (result.outcome == attempt_outcome::Answered)
--- a/policy/instance_picker.cpp
+++ b/policy/instance_picker.cpp
@@ -205,18 +205,22 @@
     // Jitter keeps nodes with the same view from all choosing the same instance.
     const double jitter = m_random() * serviceMs * jitterShare;
     return getDistanceCost(request, candidate.record.zone) + estimateQueueWait(now, stats)
-        + getRunCost(now, request, candidate) + failureCost + jitter;
+        + getRunCost(now, request, candidate, stats) + failureCost + jitter;
 }
 
-double instance_picker::getRunCost(
-    milliseconds now, const pick_request& request, const instance_directory::entry& candidate) const
+double instance_picker::getRunCost(milliseconds now, const pick_request& request,
+    const instance_directory::entry& candidate, const instance_stats& stats) const
 {
     auto estimate = m_runTimes.estimate(candidate.record.id, request.route);
     if (!estimate)
         return 0;
     if (now < candidate.coldUntil)
         estimate->logMean += std::log(coldStartSlowdown);
-    return estimate->getMean().getCount() * runTimeWeight
+    const auto usualMean = estimate->getMean();
+    const double slowdown = stats.report.pace.getExpected(now - stats.reportedAt);
+    estimate->logMean += std::log(slowdown);
+    // Unlike the usual run time, what a slow moment adds is the same loss as a wait in the queue.
+    return usualMean.getCount() * (runTimeWeight + slowdown - 1)
         + estimate->getExcessProbability(request.latencyTarget) * lateCostInTargets
         * request.latencyTarget.getCount();
 }
--- a/policy/instance_picker.h
+++ b/policy/instance_picker.h
@@ -136,8 +136,8 @@
 
     double getCost(milliseconds now, const pick_request& request, const instance_directory::entry& candidate,
         const instance_stats& stats) const;
-    double getRunCost(
-        milliseconds now, const pick_request& request, const instance_directory::entry& candidate) const;
+    double getRunCost(milliseconds now, const pick_request& request,
+        const instance_directory::entry& candidate, const instance_stats& stats) const;
     double getDistanceCost(const pick_request& request, const std::string& zone) const;
     static bool isUnresponsive(const instance_stats& stats, milliseconds unansweredTime);
     static double estimateQueueWait(milliseconds now, const instance_stats& stats);
--- a/policy/slot_gate.cpp
+++ b/policy/slot_gate.cpp
@@ -1,6 +1,7 @@
 #include "policy/slot_gate.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 #include <vector>
 
@@ -16,10 +17,19 @@
     constexpr double minRatePerSecond = 0.5;
     /// Sends that may follow each other at once, as a share of those of one second.
     constexpr double rateBurstShare = 0.25;
+    /// Other work on a shared VM comes and goes within a fraction of a second.
+    constexpr milliseconds paceHalfLife { 200 };
     constexpr double msPerSecond = 1000;
 
 } // namespace
 
+double pace_report::getExpected(milliseconds sinceReport) const
+{
+    if (slowdown == 1)
+        return 1;
+    return 1 + (slowdown - 1) * std::exp2(-((age + sinceReport) / paceHalfLife));
+}
+
 milliseconds slot_report::estimateWait() const
 {
     const int ahead = std::max(0, busy + waiting + 1 - slots);
@@ -124,7 +134,7 @@
 slot_report slot_gate::getReport() const
 {
     return { m_busy, static_cast<int>(m_queue.size()), m_slots, milliseconds(m_serviceMs), m_rejectedShare,
-        m_rateLimit };
+        m_rateLimit, {} };
 }
 
 void slot_gate::startQueuedRequests(milliseconds now)
--- a/policy/slot_gate.h
+++ b/policy/slot_gate.h
@@ -23,6 +23,21 @@
     milliseconds startBy; ///< Time after which a start is too late to be useful.
 };
 
+/// What a target has stated of its pace. It changes many times a second if the VM is shared with others.
+struct pace_report {
+    double slowdown = 1; ///< How much longer than usual work takes, as a factor.
+    milliseconds age; ///< How long ago the target has stated it, at the time of the report.
+
+    /// @return the expected slowdown some time after the report: the statement loses its effect with its age.
+    double getExpected(milliseconds sinceReport) const;
+
+    friend bool operator==(const pace_report& a, const pace_report& b)
+    {
+        return a.slowdown == b.slowdown && a.age == b.age;
+    }
+    friend bool operator!=(const pace_report& a, const pace_report& b) { return !(a == b); }
+};
+
 /// Load of a gate, as reported to the nodes that send requests to it.
 struct slot_report {
     int busy = 0; ///< Slots in use.
@@ -32,6 +47,7 @@
     /// Moving average of the share of requests that the target rejected although slots were free.
     double rejectedShare = 0;
     std::optional<double> rateLimit; ///< Requests per second that the target takes at most, if it states it.
+    pace_report pace;
 
     /// @return the expected waiting time of a new request.
     milliseconds estimateWait() const;
--- a/tests/mesh/organisation_test.cpp
+++ b/tests/mesh/organisation_test.cpp
@@ -104,6 +104,7 @@
 TEST(mesh_organisation, identifiesEachRequestOnAPipelinedConnection)
 {
     auto client = mesh.connectRawClient(*entry);
+    client.non_blocking(true);
     const std::string head = "GET /x HTTP/1.1\r\nHost: shop\r\nRequest-Id: ";
     const std::string text
         = head + "a\r\nApi-Key: key-1\r\n\r\n" + head + "b\r\n\r\n" + head + "c\r\nApi-Key: key-1\r\n\r\n";
--- a/tests/policy/instance_picker_test.cpp
+++ b/tests/policy/instance_picker_test.cpp
@@ -247,6 +247,33 @@
     STRCMP_EQUAL("fast-near", choose().c_str());
 }
 
+// An instance that states that its VM is busy with other work must get fewer requests, but only for as long
+// as the statement is fresh: the pace changes many times a second.
+TEST(instance_picker, avoidsAnInstanceWhileItStatesASlowPace)
+{
+    list("first", "a");
+    list("second", "a");
+    for (const char* id : { "first", "second" })
+        picker.onRunTime(id, "route", milliseconds(id == std::string("first") ? 190 : 200));
+    slot_report report { 1, 0, 10, milliseconds(200) };
+    picker.onReport("second", now, report);
+    report.pace = { 2.5, milliseconds() };
+    picker.onReport("first", now, report);
+    STRCMP_EQUAL("second", choose().c_str());
+    now = now + milliseconds(3000);
+    STRCMP_EQUAL("first", choose().c_str());
+}
+
+// A relayed statement must not count as a fresh one.
+TEST(instance_picker, countsTheAgeOfAStatedPace)
+{
+    const pace_report fresh { 3, milliseconds() };
+    const pace_report relayed { 3, milliseconds(1000) };
+    DOUBLES_EQUAL(3, fresh.getExpected(milliseconds()), 0.001);
+    DOUBLES_EQUAL(fresh.getExpected(milliseconds(1000)), relayed.getExpected(milliseconds()), 0.001);
+    CHECK(relayed.getExpected(milliseconds()) < 1.1);
+}
+
 TEST(instance_picker, leavesTheZoneOnceTheRateLimitThereCostsMore)
 {
     list("own", "a");
