transport: Take no status outside 100 to 599 for a response

Cause: an instance in trouble may answer with a status that HTTP doesn't define. 600 and 999 reached the client as responses with the instance's stamp; 000 and 099 passed for interim responses, so the request waited for its timeout (504).

Change: such a status line is a parse error: the response is broken, the request may have run, and the client gets 502.

Result: odd_status, 4 tests, all failed before (504, 504, 600, 999) and pass now.

--- a/transport/message_parser.h
+++ b/transport/message_parser.h
@@ -45,6 +45,9 @@
     bool hasSecondStatusLine = false;
 
 private:
+    static constexpr int firstStatus = 100;
+    static constexpr int lastStatus = 599;
+
     void on_request_impl(boost::beast::http::verb /*verb*/, string_view methodText, string_view targetText,
         int /*version*/, error_code& /*code*/) override
     {
@@ -55,6 +58,8 @@
     void on_response_impl(int statusCode, string_view reason, int /*version*/, error_code& code) override
     {
         status = statusCode;
+        if (status < firstStatus || status > lastStatus)
+            code = boost::beast::http::error::bad_status;
         if (containsStatusLine(reason))
             rejectSecondStatusLine(code);
     }
