--- a/core/event_log.h
+++ b/core/event_log.h
@@ -24,6 +24,7 @@
     PlatformRegained,
     WatchReplaced, ///< A watch of the platform did not report a change and was sent again.
     ReadingChanged, ///< The node started or stopped reading the platform for its availability zone.
+    KeyFreshnessChanged, ///< Keys are refused as the rules are not proved current, or accepted again.
     EntryIgnored, ///< An entry of the instance list does not describe a usable instance.
     InstanceChanged, ///< An instance joined, started to drain or is gone.
     InstanceAvoided, ///< An instance temporarily gets no requests.
--- a/mesh/mesh_context.h
+++ b/mesh/mesh_context.h
@@ -39,6 +39,8 @@
     std::optional<milliseconds> endsAt;
     /// Called when the instance at an address is not the one listed for it; may be empty.
     std::function<void()> onStaleInstance;
+    /// @return whether the rules are proved current enough to identify requests by keys.
+    std::function<bool()> mayUseKeys;
 };
 
 } // namespace fuchsiagauge
--- a/mesh/mesh_counters.cpp
+++ b/mesh/mesh_counters.cpp
@@ -34,6 +34,9 @@
           "1 if the platform answers this node or the node that it learns from."))
     , replicaRevision(registry.getGauge(
           "fuchsiagauge_mesh_items_revision", "Revision of the platform up to which all changes are known."))
+    , proofAge(registry.getGauge("fuchsiagauge_mesh_proof_age_seconds",
+          "Time since the configuration was last proved current; 1000000 if it was not, 0 if "
+          "platform.revoke_s is not set."))
     , m_registry(registry)
 {
 }
--- a/mesh/mesh_counters.h
+++ b/mesh/mesh_counters.h
@@ -44,6 +44,7 @@
     metric_gauge& isReader;
     metric_gauge& isConnected;
     metric_gauge& replicaRevision;
+    metric_gauge& proofAge; ///< Since the items were proved current, in seconds; 0 if keys are not limited.
 
 private:
     metrics_registry& m_registry;
--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -8,6 +8,7 @@
 #include "mesh/mesh_context.h"
 #include "mesh/outbound_call.h"
 #include "mesh/replica_transport.h"
+#include "policy/key_freshness.h"
 #include "transport/http_server.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -42,6 +43,8 @@
     constexpr double nodeStalenessShare = 0.85; ///< Leaves time for one read of the platform.
     constexpr double gateClosingShare = 0.15; ///< What the node staleness leaves.
     constexpr double pollWaitShare = 0.3;
+    constexpr double maxProofAgeMetricS = 1e6; ///< Reported if there is no proof.
+    constexpr double msPerSecond = 1000;
     constexpr double answerMarginShare = 0.2;
     constexpr const char* unreadResponsesRetryAfterS = "0.5"; ///< Clients need time to read.
     constexpr int readyStatus = 200;
@@ -63,6 +66,7 @@
         options.nodeStaleness = bound * nodeStalenessShare;
         options.pollWait = std::min(options.pollWait, bound * pollWaitShare);
         options.answerMargin = std::min(options.answerMargin, bound * answerMarginShare);
+        options.limitProofAge(config.revokeTime);
         return options;
     }
 
@@ -83,6 +87,7 @@
     void runHousekeeping(milliseconds now);
     void detectPause(milliseconds now);
     void reportRateLimit();
+    void reportKeyFreshness(milliseconds now);
     void handleClientCall(const std::shared_ptr<incoming_call>& call);
     void handlePeerCall(const std::shared_ptr<incoming_call>& call);
     void handleAdminCall(const std::shared_ptr<incoming_call>& call);
@@ -117,6 +122,7 @@
     peer_pools peerPools;
     platform_hooks platform;
     replica_exchange exchange;
+    key_freshness keys;
     mesh_context callContext;
     http_server callersServer;
     http_server peersServer;
@@ -154,9 +160,11 @@
               const std::string& requestId, const std::string& refusal) { onLocalRetry(requestId, refusal); })
     , peerPools(ioContext, time, memory)
     , exchange(time, makeExchangeOptions(config), config.peersListener.host, makeExchangeHooks())
+    , keys(config.revokeTime)
     , callContext { config, time, protocol, std::make_shared<const traffic_rules>(), directory, picker,
         splitter, target, peerPools, counters, log, random, std::nullopt,
-        [this] { exchange.reportOutdated(); } }
+        [this] { exchange.reportOutdated(); },
+        [this] { return keys.mayUseKeys(time.now(), exchange.getProvenAt()); } }
     , callersServer(ioContext, time, config.maxConnections,
           [this](const std::shared_ptr<incoming_call>& call) { handleClientCall(call); })
     , peersServer(ioContext, time, config.maxConnections,
@@ -224,6 +232,7 @@
     reportRateLimit();
     peerPools.tick();
     exchange.tick();
+    reportKeyFreshness(now);
     log.flush();
     if (now - lastHousekeepingAt >= housekeepingInterval)
         runHousekeeping(now);
@@ -262,6 +271,20 @@
     reportedRateLimit = limit;
 }
 
+/// Logs when keys are refused because the rules are not proved current, and when they are accepted again.
+void mesh_node::state::reportKeyFreshness(milliseconds now)
+{
+    const auto provenAt = exchange.getProvenAt();
+    if (!keys.isLimited() || !keys.hasChanged(now, provenAt))
+        return;
+    const bool isProved = provenAt > freshness_proof::never;
+    log.write(event_kind::KeyFreshnessChanged, {},
+        { { "keys", std::string(keys.mayUseKeys(now, provenAt) ? "accepted" : "refused") },
+            { "age_ms", isProved ? (now - provenAt).getCount() : -1 }, { "source", exchange.getSource() },
+            { "reads", std::string(exchange.isReader() ? "yes" : "no") },
+            { "rules", static_cast<double>(callContext.rules->version) } });
+}
+
 /// @return whether the node is stopping and the notice period for clients and peers has ended.
 bool mesh_node::state::isRefusingCalls() const
 {
@@ -416,6 +439,10 @@
     counters.isReader.set(exchange.isReader() ? 1 : 0);
     counters.isConnected.set(exchange.isConnected() ? 1 : 0);
     counters.replicaRevision.set(static_cast<double>(exchange.getReplica().getRevision()));
+    if (keys.isLimited()) {
+        const auto age = (time.now() - exchange.getProvenAt()).getCount() / msPerSecond;
+        counters.proofAge.set(std::min(age, maxProofAgeMetricS));
+    }
     counters.instances.set(static_cast<double>(directory.getEntries().size()));
     return metrics.formatPrometheusText(time.now());
 }
--- a/mesh/mesh_settings.cpp
+++ b/mesh/mesh_settings.cpp
@@ -9,6 +9,7 @@
     constexpr double msPerSecond = 1000;
     constexpr double bytesPerMb = 1048576;
     constexpr std::size_t maxSettingsBytes = 1048576;
+    constexpr milliseconds minRevokeTime { 2000 }; ///< With less, polls would time out on a loaded VM.
 
     setting_row makeTextRow(const char* key, const char* value, bool isRequired, const char* description)
     {
@@ -78,6 +79,10 @@
             "Time within which an instance must get no further requests after it has been reported as "
             "leaving, "
             "in seconds."),
+        makeNumberRow("platform.revoke_s", 0, 0, 3600,
+            "Time after which a key that a published configuration no longer contains must not be accepted, "
+            "in seconds; 0: not limited, otherwise at least 2. Keys are refused with 503 while the node's "
+            "configuration has not been proved current within 0.9 of this time."),
         makeNumberRow(
             "stop.grace_s", 6, 1, 3600, "Time from the stop signal until the process is killed, in seconds."),
         makeNumberRow("repeats.ratio", 0.2, 0, 1,
@@ -137,6 +142,9 @@
     result.watchTimeout = readSeconds(*values, "platform.watch_s");
     result.applyTime = readSeconds(*values, "platform.apply_s");
     result.drainTime = readSeconds(*values, "platform.drain_s");
+    result.revokeTime = readSeconds(*values, "platform.revoke_s");
+    if (result.revokeTime > milliseconds() && result.revokeTime < minRevokeTime)
+        return fail(error_kind::BadSettings, fileName + ": platform.revoke_s: expected 0 or at least 2");
     result.gracePeriod = readSeconds(*values, "stop.grace_s");
     result.retryLimits.ratio = values->getNumber("repeats.ratio");
     result.retryLimits.window = readSeconds(*values, "repeats.window_s");
--- a/mesh/mesh_settings.h
+++ b/mesh/mesh_settings.h
@@ -35,6 +35,8 @@
     milliseconds applyTime { 2000 };
     /// Time within which an instance must get no further requests after it has been reported as leaving.
     milliseconds drainTime { 60000 };
+    /// Time after which a revoked key must not be accepted anywhere; 0: not limited.
+    milliseconds revokeTime;
     milliseconds gracePeriod { 6000 }; ///< Time from the stop signal until the process is killed.
     retry_limits retryLimits;
     std::size_t maxConnections = 3000; ///< Per listener.
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -29,6 +29,7 @@
     /// Clients wait at most this share of their remaining time before a retry.
     constexpr double retryAfterTimeLeftShare = 1.0 / 3;
     constexpr double noRulesRetryAfterS = 0.3; ///< A starting node receives its routes within this time.
+    constexpr double unprovedRulesRetryAfterS = 0.5; ///< Mean; other nodes may accept the key at once.
     /// Share of the requests taken by a stopping node that may last beyond its end.
     constexpr double maxCutOffShare = 0.05;
     constexpr double maxNonIdempotentCutOffShare = 0.01; ///< Their callers can't send them again.
@@ -99,6 +100,8 @@
     }
     m_route = m_rules->findRoute(m_clientInfo.host, request.getPath());
     if (!m_route) {
+        if (m_rules->hasOrganisations() && m_clientInfo.organisationKey && !mayUseKeys())
+            return false;
         respondWithError(notFoundStatus, "no-route",
             "no matching route in rules version " + std::to_string(m_rules->version), std::nullopt);
         return false;
@@ -130,6 +133,8 @@
             getRetryAfterS(attempt_outcome::NoRoom));
         return false;
     }
+    if (key && !mayUseKeys())
+        return false;
     m_organisation = key ? m_rules->findOrganisation(*key) : nullptr;
     if (m_organisation)
         return true;
@@ -138,6 +143,18 @@
     return false;
 }
 
+/// Refuses a request with a key if the rules are not proved current: the key may have been revoked, or
+/// published, since.
+/// @return whether the request may go on; if not, it has been answered.
+bool outbound_call::mayUseKeys()
+{
+    if (m_context.mayUseKeys())
+        return true;
+    respondWithError(unavailableStatus, "unproved-rules", "the rules are not proved current",
+        unprovedRulesRetryAfterS * (0.5 + m_context.random()));
+    return false;
+}
+
 /// @return the priority of the request: that of the organisation first, then that of the route.
 int outbound_call::getPriority() const
 {
--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -50,6 +50,7 @@
     bool selectRoute();
     void inheritFromParent();
     bool identifyOrganisation();
+    bool mayUseKeys();
     int getPriority() const;
     void recordDownstreamFailure(downstream_failure failure);
     pick_request makePickRequest(milliseconds now) const;
--- a/mesh/replica_messages.cpp
+++ b/mesh/replica_messages.cpp
@@ -3,6 +3,7 @@
 #include "core/error.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -59,6 +60,14 @@
         return true;
     }
 
+    std::optional<std::uint64_t> findNumber(const json& document, const char* key)
+    {
+        const auto found = document.find(key);
+        if (found == document.end() || !found->is_number_unsigned())
+            return std::nullopt;
+        return found->get<std::uint64_t>();
+    }
+
     bool getFlag(const json& document, const char* key)
     {
         const auto found = document.find(key);
@@ -95,6 +104,11 @@
         { "confirmedAgoMs", static_cast<std::uint64_t>(answer.confirmedAgo.getCount()) },
         { "revision", answer.changes.revision }, { "complete", answer.changes.isComplete },
         { "items", json::array() }, { "removed", json::array() } };
+    if (answer.provenAgo) {
+        // Rounded so that the asking node takes the items for older rather than newer than they are.
+        document["provenAgoMs"] = static_cast<std::uint64_t>(std::ceil(answer.provenAgo->getCount()));
+        document["heldMs"] = static_cast<std::uint64_t>(answer.heldFor.getCount());
+    }
     for (const auto& item : answer.changes.items)
         document["items"].push_back(encodeItem(item));
     for (const auto& removal : answer.changes.removed)
@@ -124,6 +138,12 @@
     const auto confirmedAgo = document.find("confirmedAgoMs");
     if (confirmedAgo != document.end() && confirmedAgo->is_number_unsigned())
         answer.confirmedAgo = milliseconds(confirmedAgo->get<double>());
+    const auto provenAgo = findNumber(document, "provenAgoMs");
+    const auto held = findNumber(document, "heldMs");
+    if (provenAgo && held) {
+        answer.provenAgo = milliseconds(static_cast<double>(*provenAgo));
+        answer.heldFor = milliseconds(static_cast<double>(*held));
+    }
     answer.changes.revision = revision->get<std::uint64_t>();
     answer.changes.isComplete = getFlag(document, "complete");
     if (!decodeArray(document, "items", decodeItem, answer.changes.items)
--- a/policy/replica_exchange.cpp
+++ b/policy/replica_exchange.cpp
@@ -5,6 +5,22 @@
 
 namespace fuchsiagauge {
 
+void replica_exchange::options::limitProofAge(milliseconds revokeTime)
+{
+    constexpr double contactShare = 0.6; // Of a node in contact, also while its reader is replaced.
+    constexpr double reserveShare = 0.06; // For one read of the platform and the ticks of two nodes.
+    constexpr double pollWaitShare = 0.12;
+    constexpr double answerMarginShare = 0.08;
+    if (revokeTime <= milliseconds())
+        return;
+    pollWait = std::min(pollWait, revokeTime * pollWaitShare);
+    answerMargin = std::min(answerMargin, revokeTime * answerMarginShare);
+    // A poll of a reader that has been killed ends after the wait and the margin. The proof of the next
+    // reader is then at most one interval and one read old.
+    proofInterval = revokeTime * (contactShare - reserveShare) - pollWait - answerMargin;
+    maxProofAge = revokeTime * (contactShare - reserveShare / 2);
+}
+
 replica_exchange::replica_exchange(clock time, const options& config, std::string self, hooks initialHooks)
     : m_time(std::move(time))
     , m_options(config)
@@ -50,6 +66,13 @@
     answerHeldPolls(now);
 }
 
+milliseconds replica_exchange::onPlatformRead(const platform_read& read)
+{
+    if (m_replica.isComplete())
+        m_proof.onRead(read, m_replica.getRevision());
+    return read.sentAt + m_options.proofInterval;
+}
+
 void replica_exchange::onPlatformUnreachable(const std::string& reason)
 {
     const auto now = m_time.now();
@@ -63,7 +86,7 @@
     const auto now = m_time.now();
     if (poll.isOutdated)
         m_hooks.onOutdated();
-    m_heldPolls.push_back({ poll, now + poll.wait, std::move(respond) });
+    m_heldPolls.push_back({ poll, now, now + poll.wait, std::move(respond) });
     answerHeldPolls(now);
 }
 
@@ -74,9 +97,9 @@
         return;
     const auto host = m_source;
     m_hooks.sendPoll(host, { m_replica.getRevision(), m_options.pollWait, true, false },
-        m_options.pollWait + m_options.answerMargin, [this](const auto& answer) {
-            if (answer && !m_isStopped)
-                merge(answer->changes, m_time.now());
+        m_options.pollWait + m_options.answerMargin, [this, sentAt = m_time.now()](const auto& answer) {
+            if (answer && isPolling())
+                mergeAnswer(*answer, sentAt, m_time.now());
         });
 }
 
@@ -86,6 +109,7 @@
     publishIfConfirmed(now);
     answerHeldPolls(now);
     checkStaleness(now);
+    checkProof(now);
     sendRecheck(now);
     sendDuePoll();
 }
@@ -98,7 +122,8 @@
 
 bool replica_exchange::mustRead() const
 {
-    return m_selector.isReader() || m_failedPolls >= m_options.maxFailedPolls || m_isSourceStale;
+    return m_selector.isReader() || m_failedPolls >= m_options.maxFailedPolls || m_isSourceStale
+        || m_isProofOverdue;
 }
 
 /// @return whether this node reads the platform and its items are current.
@@ -118,6 +143,15 @@
     updateRole();
 }
 
+/// Makes this node read by itself if its source does not prove its items current.
+void replica_exchange::checkProof(milliseconds now)
+{
+    if (!isProving() || m_isReader || !m_isPublishing || now - m_proof.getProvenAt() <= m_options.maxProofAge)
+        return;
+    m_isProofOverdue = true;
+    updateRole();
+}
+
 bool replica_exchange::isAwaitingRegistrations() const
 {
     return !m_isConnected && !m_selector.isListed()
@@ -142,9 +176,22 @@
     m_hooks.onRoleChanged(isReader);
 }
 
+/// Merges the changes of an answer and takes over its proof. The proof counts from the time at which the poll
+/// was sent, as the answer may have been on its way, or this process suspended, for any time since then.
+void replica_exchange::mergeAnswer(const replica_answer& answer, milliseconds sentAt, milliseconds now)
+{
+    merge(answer.changes, now);
+    if (!isProving() || !answer.provenAgo || !m_replica.isComplete()
+        || m_replica.getRevision() < answer.changes.revision)
+        return;
+    const auto provenAt = sentAt + std::min(answer.heldFor, now - sentAt) - *answer.provenAgo;
+    m_relayedProvenAt = std::max(m_relayedProvenAt, provenAt);
+    m_proof.onRelayed(provenAt);
+}
+
 void replica_exchange::sendDuePoll()
 {
-    if (m_isPollOpen || m_isStopped)
+    if (m_isPollOpen || !isPolling())
         return;
     const auto source = m_selector.getSource();
     m_source = source.value_or(std::string());
@@ -159,51 +206,55 @@
     // is cut off from the whole zone.
     const auto wait = m_failedPolls == 0 ? m_options.pollWait : milliseconds();
     m_hooks.sendPoll(*source, { m_replica.getRevision(), wait, false, !m_isConnected },
-        wait + m_options.answerMargin,
-        [this, host = *source](const auto& answer) { onSourceAnswer(host, answer); });
+        wait + m_options.answerMargin, [this, host = *source, sentAt = m_time.now()](const auto& answer) {
+            onSourceAnswer(host, answer, sentAt);
+        });
 }
 
 /// Contacts a node that was unusable, so that it is used again when it has recovered.
 void replica_exchange::sendRecheck(milliseconds now)
 {
-    if (m_isStopped)
+    if (!isPolling())
         return;
     const auto host = m_selector.takeRecheck(now);
     if (!host)
         return;
     m_hooks.sendPoll(*host, { m_replica.getRevision(), {}, false, false }, m_options.answerMargin,
-        [this, host = *host](const auto& answer) {
-            if (m_isStopped)
+        [this, host = *host, sentAt = now](const auto& answer) {
+            if (!isPolling())
                 return;
-            recordAnswer(host, answer, m_time.now());
+            recordAnswer(host, answer, sentAt, m_time.now());
             updateRole();
         });
 }
 
 /// @return whether the node that answered is usable as a source.
-bool replica_exchange::recordAnswer(
-    const std::string& host, const std::optional<replica_answer>& answer, milliseconds now)
+bool replica_exchange::recordAnswer(const std::string& host, const std::optional<replica_answer>& answer,
+    milliseconds sentAt, milliseconds now)
 {
     const bool isUsable = answer && answer->isReader && answer->isConnected;
     m_selector.recordUsable(host, isUsable, now);
     if (answer)
-        merge(answer->changes, now);
+        mergeAnswer(*answer, sentAt, now);
     return isUsable;
 }
 
-void replica_exchange::onSourceAnswer(const std::string& host, const std::optional<replica_answer>& answer)
+void replica_exchange::onSourceAnswer(
+    const std::string& host, const std::optional<replica_answer>& answer, milliseconds sentAt)
 {
     m_isPollOpen = false;
-    if (m_isStopped)
+    if (!isPolling())
         return;
     const auto now = m_time.now();
-    const bool isUsable = recordAnswer(host, answer, now);
+    const bool isUsable = recordAnswer(host, answer, sentAt, now);
     m_isSourceConnected = isUsable;
     m_failedPolls = isUsable ? 0 : m_failedPolls + 1;
     if (isUsable) {
         m_sourceConnectedSince = now - answer->connectedFor;
         m_sourceConfirmedAt = std::max(m_sourceConfirmedAt, now - answer->confirmedAgo);
         m_isSourceStale = now - m_sourceConfirmedAt > m_options.nodeStaleness;
+        if (m_isProofOverdue)
+            m_isProofOverdue = now - m_relayedProvenAt > m_options.maxProofAge;
     }
     updateRole();
     // Another usable source may still be connected, so the connection does not count as lost before that one
@@ -223,6 +274,8 @@
     }
     if (m_isPublishing && (!added.items.empty() || !added.removed.empty()))
         m_hooks.onChanges(added);
+    if (m_replica.isComplete())
+        m_proof.onMerged(m_replica.getRevision());
     answerHeldPolls(now);
 }
 
@@ -248,14 +301,18 @@
     return changes.isComplete || !changes.items.empty() || !changes.removed.empty();
 }
 
-replica_answer replica_exchange::makeAnswer(const replica_poll& poll, milliseconds now) const
+replica_answer replica_exchange::makeAnswer(const held_poll& held, milliseconds now) const
 {
     replica_answer answer;
     answer.isReader = m_isReader && !m_isStopped;
     answer.isConnected = isReadingIntact(now);
     answer.connectedFor = answer.isConnected ? now - m_platformReachableSince : milliseconds();
     answer.confirmedAgo = answer.isConnected ? now - m_platformConfirmedAt : milliseconds();
-    answer.changes = m_replica.getChangesSince(poll.after);
+    answer.changes = m_replica.getChangesSince(held.poll.after);
+    if (m_proof.getProvenAt() > freshness_proof::never) {
+        answer.provenAgo = std::max(milliseconds(), now - m_proof.getProvenAt());
+        answer.heldFor = now - held.since;
+    }
     return answer;
 }
 
@@ -274,7 +331,7 @@
             due.splice(due.end(), m_heldPolls, current);
     }
     for (const auto& held : due)
-        held.respond(makeAnswer(held.poll, now));
+        held.respond(makeAnswer(held, now));
 }
 
 /// Reports when the connection to the platform, direct or through a source, is lost or regained.
--- a/policy/replica_exchange.h
+++ b/policy/replica_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "policy/freshness_proof.h"
 #include "policy/item_replica.h"
 #include "policy/reader_selector.h"
 
@@ -37,11 +38,16 @@
     milliseconds connectedFor; ///< How long it has been connected; 0 if it is not.
     milliseconds confirmedAgo; ///< How long ago the platform has confirmed that its items are current.
     item_changes changes;
+    /// How long ago the answering node's items were proved current; nothing without proof.
+    std::optional<milliseconds> provenAgo;
+    milliseconds heldFor; ///< How long the poll was held; not stated without proof.
 
     friend bool operator==(const replica_answer& a, const replica_answer& b)
     {
-        return std::tie(a.isReader, a.isConnected, a.connectedFor, a.confirmedAgo, a.changes)
-            == std::tie(b.isReader, b.isConnected, b.connectedFor, b.confirmedAgo, b.changes);
+        return std::tie(a.isReader, a.isConnected, a.connectedFor, a.confirmedAgo, a.changes, a.provenAgo,
+                   a.heldFor)
+            == std::tie(
+                b.isReader, b.isConnected, b.connectedFor, b.confirmedAgo, b.changes, b.provenAgo, b.heldFor);
     }
     friend bool operator!=(const replica_answer& a, const replica_answer& b) { return !(a == b); }
 };
@@ -81,6 +87,16 @@
         milliseconds confirmationTimeout { 1500 };
         /// Time after the start in which the instances of a starting fleet register.
         milliseconds registrationTime { 4000 };
+        /// Time between two reads of the platform that prove the items current; 0: nothing is proved.
+        milliseconds proofInterval;
+        /// A node reads the platform by itself if its items were proved current longer ago and its source
+        /// has no newer proof. Used only with `proofInterval`.
+        milliseconds maxProofAge;
+
+        /// Sets the times for a limit on the time after which a revoked key may be accepted. They keep the
+        /// proof of a node in contact younger than 0.6 of the limit, also while its reader is replaced.
+        /// @param revokeTime the limit; 0 if there is none, which changes nothing.
+        void limitProofAge(milliseconds revokeTime);
     };
 
     struct hooks {
@@ -122,6 +138,11 @@
     /// @param ago how long ago that time is.
     void onPlatformConfirmed(milliseconds ago);
 
+    /// Records an answer of the platform that did not come from a cache. Its changes have been passed to
+    /// applyFromPlatform().
+    /// @return when the next such answer is due.
+    milliseconds onPlatformRead(const platform_read& read);
+
     /// Records that the platform does not answer this node.
     void onPlatformUnreachable(const std::string& reason);
 
@@ -134,9 +155,17 @@
     /// Sends polls that are due and answers held polls whose wait is over.
     void tick();
 
-    /// Stops polling and tells other nodes to learn elsewhere.
+    /// Stops polling and tells other nodes to learn elsewhere. With `options::proofInterval`, polling goes
+    /// on, since the node still serves requests for a while.
     void stop();
 
+    /// @return the latest time for which it is certain that the items passed on by this node contain every
+    /// change that the platform had acknowledged by then; freshness_proof::never if there is none.
+    milliseconds getProvenAt() const
+    {
+        return m_isPublishing ? m_proof.getProvenAt() : freshness_proof::never;
+    }
+
     /// @return whether the fleet seems to be starting: the instance beside this node is not registered yet,
     /// and neither may the others be that would show where the other nodes are.
     bool isAwaitingRegistrations() const;
@@ -152,6 +181,7 @@
 private:
     struct held_poll {
         replica_poll poll;
+        milliseconds since;
         milliseconds until;
         std::function<void(const replica_answer&)> respond;
     };
@@ -159,14 +189,20 @@
     void updateRole();
     bool mustRead() const;
     void checkStaleness(milliseconds now);
+    void checkProof(milliseconds now);
+    bool isProving() const { return m_options.proofInterval > milliseconds(); }
+    bool isPolling() const { return !m_isStopped || isProving(); }
+    void mergeAnswer(const replica_answer& answer, milliseconds sentAt, milliseconds now);
     void sendDuePoll();
     void sendRecheck(milliseconds now);
-    bool recordAnswer(const std::string& host, const std::optional<replica_answer>& answer, milliseconds now);
-    void onSourceAnswer(const std::string& host, const std::optional<replica_answer>& answer);
+    bool recordAnswer(const std::string& host, const std::optional<replica_answer>& answer,
+        milliseconds sentAt, milliseconds now);
+    void onSourceAnswer(
+        const std::string& host, const std::optional<replica_answer>& answer, milliseconds sentAt);
     void merge(const item_changes& changes, milliseconds now);
     void publishIfConfirmed(milliseconds now);
     bool hasNews(const replica_poll& poll) const;
-    replica_answer makeAnswer(const replica_poll& poll, milliseconds now) const;
+    replica_answer makeAnswer(const held_poll& held, milliseconds now) const;
     void answerHeldPolls(milliseconds now);
     void updateConnection(milliseconds now, const std::string& reason);
     bool isReadingIntact(milliseconds now) const;
@@ -176,6 +212,10 @@
     hooks m_hooks;
     reader_selector m_selector;
     item_replica m_replica;
+    freshness_proof m_proof;
+    /// Up to when another node has proved this node's items current.
+    milliseconds m_relayedProvenAt = freshness_proof::never;
+    bool m_isProofOverdue = false; ///< This node reads by itself until its source has a newer proof.
     std::list<held_poll> m_heldPolls;
     std::string m_source;
     bool m_isReader = true; ///< Until the zone's nodes are known.
--- a/tests/mesh/mesh_settings_test.cpp
+++ b/tests/mesh/mesh_settings_test.cpp
@@ -46,6 +46,7 @@
         { replaceInSettings("10.0.0.8:8301", "here"), "target.address" },
         { replaceInSettings("a=west", "a"), "zones" },
         { replaceInSettings("\"ratio\": 0.2", "\"ratio\": 7"), "repeats.ratio" },
+        { replaceInSettings("10.9.0.1:80\"", "10.9.0.1:80\", \"revoke_s\": 1.5"), "platform.revoke_s" },
         { replaceInSettings("\"grace_s\": 6", "\"grace_s\": \"6\""), "stop.grace_s" },
         { replaceInSettings("\"zone\":", "\"zoen\":"), "zoen" },
         { std::string(validSettings).substr(0, 90), "" },
--- a/tests/mesh/replica_messages_test.cpp
+++ b/tests/mesh/replica_messages_test.cpp
@@ -31,6 +31,28 @@
     answer.changes
         = { 90, true, { { "op/config", std::string("a\0\xff", 3), 88 } }, { { "servers/i-1", 90 } } };
     CHECK(decodeReplicaAnswer(encodeReplicaAnswer(answer)) == answer);
+    answer.provenAgo = milliseconds(70);
+    answer.heldFor = milliseconds(600);
+    CHECK(decodeReplicaAnswer(encodeReplicaAnswer(answer)) == answer);
+}
+
+// Rounding must not make the items look newer than they are proved to be.
+TEST(replica_messages, roundsAProofToTheOlderSide)
+{
+    replica_answer answer;
+    answer.provenAgo = milliseconds(70.1);
+    answer.heldFor = milliseconds(599.9);
+    const auto decoded = decodeReplicaAnswer(encodeReplicaAnswer(answer));
+    DOUBLES_EQUAL(71, decoded->provenAgo->getCount(), 0);
+    DOUBLES_EQUAL(599, decoded->heldFor.getCount(), 0);
+}
+
+// Nodes without proof, or of an earlier version, state neither an age nor how long they held the poll.
+TEST(replica_messages, statesNoProofWithoutOne)
+{
+    const auto bytes = encodeReplicaAnswer({});
+    CHECK(bytes.find("provenAgoMs") == std::string::npos && bytes.find("heldMs") == std::string::npos);
+    CHECK_FALSE(decodeReplicaAnswer(bytes)->provenAgo.has_value());
 }
 
 TEST(replica_messages, rejectsMalformedAnswers)
--- a/tests/mesh/test_mesh.h
+++ b/tests/mesh/test_mesh.h
@@ -41,6 +41,9 @@
     test_mesh();
     ~test_mesh();
 
+    /// Sets the time for revoking a key at the nodes that are started from now on.
+    void setRevokeTime(fuchsiagauge::milliseconds revokeTime) { m_revokeTime = revokeTime; }
+
     /// Starts a VM. Its instance is not listed until publishInstances() is called.
     vm& addVm(const std::string& id, const std::string& service, const std::string& zone = "a");
 
@@ -102,6 +105,7 @@
     };
 
     boost::asio::io_context m_io;
+    fuchsiagauge::milliseconds m_revokeTime;
     std::vector<std::unique_ptr<vm>> m_vms;
     std::vector<std::unique_ptr<client>> m_clients;
 };
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -1,6 +1,7 @@
 #include "platform/store_client.h"
 #include "transport/http_server.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <deque>
@@ -61,11 +62,16 @@
     milliseconds probeTimeout { 2 };
     milliseconds firstRetryDelay { 1 };
     milliseconds maxRetryDelay { 2 };
+    bool isProving = false; ///< The client is asked for reads of the store itself.
+    milliseconds proofInterval { 1 };
+    std::vector<platform_read> reads;
+    std::vector<std::string> probeTargets;
     milliseconds clockOffset; ///< Added to the client's clock.
 
     void serveProbe(const std::shared_ptr<incoming_call>& call)
     {
         ++probeCount;
+        probeTargets.push_back(call->getRequest().target);
         response_head head;
         head.status = probeStatus;
         if (probeStatus == 0)
@@ -124,13 +130,17 @@
         options.responseMargin = milliseconds(1e7);
         const fuchsiagauge::clock time(
             [this, boot = fuchsiagauge::clock::makeBoot()] { return boot.now() + clockOffset; });
+        std::function<milliseconds(const platform_read&)> onRead = [this](const platform_read& read) {
+            reads.push_back(read);
+            return read.sentAt + proofInterval;
+        };
         client = std::make_unique<store_client>(io, time, options,
             store_client::hooks { [] { return 0.5; },
                 [this](const item_changes& changes) { record(changes); },
                 [this] { return relistCount-- > 0; }, [] {},
                 [this](const std::string& reason) { unreachableReasons.push_back(reason); },
                 [this] { ++reachableCount; }, [this](std::uint64_t, std::uint64_t) { ++missedChangeCount; },
-                [this](milliseconds ago) { confirmations.push_back(ago); } });
+                [this](milliseconds ago) { confirmations.push_back(ago); }, isProving ? onRead : nullptr });
         client->start();
     }
 
@@ -400,3 +410,73 @@
     CHECK_EQUAL(1U, listings.size());
     CHECK_EQUAL(1U, listings[0].size());
 }
+
+TEST(store_client, readsTheStoreItselfWhenAProofIsDue)
+{
+    isProving = true;
+    probeBody = R"({"storeRevision":12})";
+    start({ { 200, lastPage }, { 200, noEvents } });
+    runUntil([this] { return reads.size() >= 4; });
+    for (const auto& target : probeTargets)
+        CHECK(target.find("serializable") == std::string::npos);
+    CHECK_EQUAL(12U, reads.back().revision);
+    CHECK(reads[1].sentAt < reads[2].sentAt);
+    CHECK(unreachableReasons.empty());
+}
+
+// The store's cache may be seconds old, so its answers prove nothing.
+TEST(store_client, reportsNoReadFromTheCache)
+{
+    isProving = true;
+    proofInterval = milliseconds(1e7);
+    probeBody = R"({"storeRevision":12})";
+    probeInterval = milliseconds(1);
+    probeTimeout = milliseconds(1e6);
+    start({ { 200, lastPage }, { 200, noEvents } });
+    runUntil([this] { return probeCount >= 3; });
+    CHECK_EQUAL(1U, reads.size());
+    for (const auto& target : probeTargets)
+        CHECK(target.find("serializable=1") != std::string::npos);
+}
+
+// The answer to a watch may be read late, and may have been on its way for long.
+TEST(store_client, countsTheReadOfAWatchFromItsRequest)
+{
+    isProving = true;
+    proofInterval = milliseconds(1e7);
+    start({ { 200, lastPage }, { 200, noEvents } });
+    runUntilWatchIsPending();
+    constexpr milliseconds delay { 1e6 };
+    clockOffset = delay;
+    std::exchange(pendingWatch, nullptr)->respond({}, R"({"events":[],"storeRevision":13})");
+    runUntil([this] { return reads.size() == 2; });
+    CHECK_EQUAL(13U, reads[1].revision);
+    CHECK(reads[1].sentAt - reads[0].sentAt < delay);
+}
+
+// While changes are gathered no watch is open; a proof that is due must not wait for it.
+TEST(store_client, watchesAtOnceIfAReadShowsAChangeWhileChangesAreGathered)
+{
+    isProving = true;
+    batchDelay = milliseconds(1e7);
+    probeBody = R"({"storeRevision":14})";
+    start({ { 200, lastPage },
+        { 200, R"({"events":[{"key":"servers/i-2","value":"eA==","rev":13}],"storeRevision":13})" } });
+    runUntilWatchIsPending();
+    CHECK(requestTargets.back().find("after=13&waitMs=5000") != std::string::npos);
+}
+
+TEST(store_client, sendsNoProofReadWhilePausedOrUnreachable)
+{
+    isProving = true;
+    probeStatus = 503;
+    start({ { 200, lastPage }, { 200, noEvents }, { 503, "" } });
+    runUntil([this] { return !unreachableReasons.empty() && probeCount >= 4; });
+    const auto own = std::count_if(probeTargets.begin(), probeTargets.end(),
+        [](const auto& target) { return target.find("serializable") == std::string::npos; });
+    LONGS_EQUAL(0, own);
+    client->pause();
+    const auto probesBefore = probeCount;
+    io.run_for(std::chrono::milliseconds(20));
+    CHECK_COMPARE(probeCount, <=, probesBefore + 1);
+}
--- a/tests/policy/replica_fleet.cpp
+++ b/tests/policy/replica_fleet.cpp
@@ -24,8 +24,10 @@
 
 } // namespace
 
-replica_fleet::replica_fleet(int zoneCount, int nodesPerZone)
+replica_fleet::replica_fleet(int zoneCount, int nodesPerZone, const replica_exchange::options& config)
+    : m_options(config)
 {
+    m_published.emplace_back(m_now, "00");
     m_store.merge({ m_revision, true, { { "config", "00", m_revision } }, {} });
     for (int zone = 0; zone < zoneCount; ++zone) {
         for (int index = 0; index < nodesPerZone; ++index) {
@@ -89,7 +91,7 @@
     hooks.onDisconnected = [](const std::string&) {};
     hooks.onReconnected = [](milliseconds) {};
     node.exchange = std::make_unique<replica_exchange>(
-        fuchsiagauge::clock([this] { return m_now; }), replica_exchange::options {}, node.host, hooks);
+        fuchsiagauge::clock([this] { return m_now; }), m_options, node.host, hooks);
     readStore(node, 0);
     tick(node);
 }
@@ -126,7 +128,7 @@
     scheduleOn(to, linkDelay, [this, &to, &from, poll, finish] {
         to.exchange->answer(poll, [&to, &from, finish](const replica_answer& answer) {
             if (!to.faults.isCutFromZone && !from.faults.isCutFromZone)
-                finish(linkDelay, answer);
+                finish(linkDelay + to.faults.answerDelay, answer);
         });
     });
 }
@@ -142,7 +144,9 @@
     ++m_storeCalls;
     const bool isAnswered = isStoreAnswering(node);
     const auto delay = isAnswered ? storeDelay : requestTimeout;
-    scheduleOn(node, delay, [this, &node, reading = node.reading, isAnswered, failures] {
+    const platform_read read { m_now, m_revision };
+    ++node.proofRun;
+    scheduleOn(node, delay, [this, &node, reading = node.reading, isAnswered, failures, read] {
         if (reading != node.reading)
             return;
         if (!isAnswered) {
@@ -162,11 +166,70 @@
         node.isReachable = true;
         node.confirmedAt = m_now;
         node.exchange->onPlatformReachable();
+        if (m_options.proofInterval > milliseconds())
+            proveItems(node, node.exchange->onPlatformRead(read));
         if (reading == node.reading)
             watchStore(node, m_now);
     });
 }
 
+/// Models the reads that prove the items current. An answer shows the store as it was at the request.
+void replica_fleet::proveItems(sim_node& node, milliseconds dueAt)
+{
+    const auto delay = std::max(milliseconds(), dueAt - m_now);
+    scheduleOn(node, delay, [this, &node, reading = node.reading, run = node.proofRun] {
+        if (reading != node.reading || run != node.proofRun)
+            return;
+        ++m_storeCalls;
+        ++m_proofReads;
+        const platform_read read { m_now, m_revision };
+        if (!isStoreAnswering(node)) {
+            proveItems(node, m_now + requestTimeout);
+            return;
+        }
+        scheduleOn(node, storeDelay, [this, &node, reading, run, read] {
+            if (reading == node.reading && run == node.proofRun)
+                proveItems(node, node.exchange->onPlatformRead(read));
+        });
+    });
+}
+
+/// Compares what the nodes claim to contain with what the store had acknowledged.
+void replica_fleet::checkProofs()
+{
+    for (const auto& node : m_nodes) {
+        if (node->faults.isDown || node->faults.isFrozen)
+            continue;
+        const auto provenAt = node->exchange->getProvenAt();
+        // A read and a change at the same instant may have come in either order.
+        const auto isNewer = [&](const auto& published) { return published.first >= provenAt; };
+        const auto last = std::find_if(m_published.begin(), m_published.end(), isNewer);
+        if (last != m_published.begin() && node->value < std::prev(last)->second)
+            ++m_falseProofCount;
+    }
+}
+
+milliseconds replica_fleet::getOldestProofAge() const
+{
+    milliseconds oldest;
+    for (const auto& node : m_nodes) {
+        if (!node->faults.isDown && !node->faults.isFrozen)
+            oldest = std::max(oldest, m_now - node->exchange->getProvenAt());
+    }
+    return oldest;
+}
+
+milliseconds replica_fleet::advanceAndGetOldestProofAge(milliseconds duration)
+{
+    const auto end = m_now + duration;
+    milliseconds oldest;
+    while (m_now < end) {
+        advance(std::min(tickInterval, end - m_now));
+        oldest = std::max(oldest, getOldestProofAge());
+    }
+    return oldest;
+}
+
 /// Models an open watch by looking for changes at short intervals.
 void replica_fleet::watchStore(sim_node& node, milliseconds openedAt)
 {
@@ -222,6 +285,8 @@
         const auto run = std::move(first->second);
         m_events.erase(first);
         run();
+        if (m_options.proofInterval > milliseconds())
+            checkProofs();
     }
     m_now = end;
 }
@@ -229,6 +294,7 @@
 void replica_fleet::publish(const std::string& value)
 {
     ++m_revision;
+    m_published.emplace_back(m_now, value);
     m_store.merge({ m_revision, false, { { "config", value, m_revision } }, {} });
 }
 
--- a/tests/policy/replica_fleet.h
+++ b/tests/policy/replica_fleet.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 /// Nodes of several availability zones that share what they read from one store, on simulated time.
@@ -20,10 +21,12 @@
         bool isDown = false; ///< Connections to it are refused.
         bool isFrozen = false; ///< It does nothing; connections to it hang.
         bool isCutFromStore = false;
+        fuchsiagauge::milliseconds answerDelay; ///< By which its answers to polls arrive later.
         bool isCutFromZone = false; ///< Connections to and from the other nodes hang.
     };
 
-    replica_fleet(int zoneCount, int nodesPerZone);
+    replica_fleet(
+        int zoneCount, int nodesPerZone, const fuchsiagauge::replica_exchange::options& config = {});
 
     /// Runs the fleet.
     void advance(fuchsiagauge::milliseconds duration);
@@ -47,6 +50,16 @@
     void setStoreSilent(bool isSilent) { m_isStoreSilent = isSilent; }
     /// @return the calls to the store so far.
     int getStoreCalls() const { return m_storeCalls; }
+    fuchsiagauge::milliseconds getNow() const { return m_now; }
+    /// @return the reads of the store itself that were sent only for their proof.
+    int getProofReads() const { return m_proofReads; }
+    /// @return how often a node that lacked a change claimed that it contained it.
+    int getFalseProofCount() const { return m_falseProofCount; }
+    /// @return the age of the oldest proof of the nodes that are neither down nor frozen.
+    fuchsiagauge::milliseconds getOldestProofAge() const;
+    /// Runs the fleet.
+    /// @return the largest age of a proof meanwhile.
+    fuchsiagauge::milliseconds advanceAndGetOldestProofAge(fuchsiagauge::milliseconds duration);
     /// @return how often any node's value of `config` went back to an older one.
     int getReversionCount() const { return m_reversionCount; }
 
@@ -61,6 +74,7 @@
         bool isReachable = false;
         fuchsiagauge::milliseconds confirmedAt; ///< When the store has last confirmed the node's items.
         std::uint64_t life = 0; ///< Events of an earlier life are dropped.
+        std::uint64_t proofRun = 0; ///< Proof reads of an earlier contact with the store are dropped.
         std::uint64_t reading = 0; ///< Store events of an earlier time as a reader are dropped.
     };
 
@@ -74,6 +88,8 @@
         fuchsiagauge::milliseconds timeout, const fuchsiagauge::replica_exchange::answer_hook& onAnswer);
     void readStore(sim_node& node, int failures);
     void watchStore(sim_node& node, fuchsiagauge::milliseconds openedAt);
+    void proveItems(sim_node& node, fuchsiagauge::milliseconds dueAt);
+    void checkProofs();
     bool isStoreAnswering(const sim_node& node) const;
     void applyChanges(sim_node& node, const fuchsiagauge::item_changes& added);
 
@@ -84,6 +100,10 @@
     fuchsiagauge::item_replica m_store;
     std::uint64_t m_revision = 1;
     bool m_isStoreSilent = false;
+    fuchsiagauge::replica_exchange::options m_options;
+    std::vector<std::pair<fuchsiagauge::milliseconds, std::string>> m_published; ///< Times and values.
+    int m_proofReads = 0;
+    int m_falseProofCount = 0;
     int m_storeCalls = 0;
     int m_reversionCount = 0;
 };
