policy, mesh: Share an instance fairly between organisations

Requests of the same priority and depth started by rank alone, so the organisation that sent most, sent longest, or sent refused requests again at once took the slots of the others.

The gate now starts the requests of the organisation first that received least of the instance's time in the last seconds. An organisation that was quiet gets a lead of at most 100 ms of the instance's work. The expected start, and so the refusal of requests that can't start in time, follows the same order. Without organisations, or with one, the order is by rank as before.

--- a/mesh/inbound_call.cpp
+++ b/mesh/inbound_call.cpp
@@ -42,7 +42,8 @@
                     { "service_ms", reply.serviceTime.getCount() },
                     { "limit_per_s", result.load.rateLimit.value_or(0) },
                     { "start_within_ms", call.startWithin.getCount() },
-                    { "priority", static_cast<double>(call.priority) } });
+                    { "priority", static_cast<double>(call.priority) },
+                    { "organisation", call.organisation } });
             result.head = {};
             result.head.status = hasNotRun(result.outcome) ? unavailableStatus : badGatewayStatus;
             result.body = std::move(result.detail);
--- a/mesh/local_target.cpp
+++ b/mesh/local_target.cpp
@@ -79,7 +79,8 @@
         refuse(id, attempt_outcome::OverBudget);
         return id;
     }
-    m_gate.submit(now, { id, call.priority, call.depth, call.rank, now + call.startWithin },
+    m_gate.submit(now,
+        { id, call.priority, call.depth, call.rank, now + call.startWithin, call.organisation },
         [this, id](std::optional<error_kind> refusal) {
             if (refusal)
                 refuse(id,
@@ -115,7 +116,7 @@
         return false;
     }
     pooled_http_client::cancel(active.pendingSend);
-    m_gate.finish(m_time.now(), std::nullopt);
+    m_gate.finish(m_time.now(), std::nullopt, id);
     return true;
 }
 
@@ -245,7 +246,7 @@
     result.downstreamFailure = active.downstreamFailure;
     const bool isServiceTimeSample
         = result.outcome == attempt_outcome::Answered || result.outcome == attempt_outcome::TimedOut;
-    m_gate.finish(now, isServiceTimeSample ? std::optional(heldFor) : std::nullopt);
+    m_gate.finish(now, isServiceTimeSample ? std::optional(heldFor) : std::nullopt, id);
     describeInstance(result);
     updateEntryAdmission(active.call, result);
     active.onEnd(std::move(result));
--- a/policy/slot_gate.cpp
+++ b/policy/slot_gate.cpp
@@ -1,6 +1,9 @@
 #include "policy/slot_gate.h"
 
 #include <algorithm>
+#include <iterator>
+#include <queue>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -17,6 +20,9 @@
     /// Sends that may follow each other at once, as a share of those of one second.
     constexpr double rateBurstShare = 0.25;
     constexpr double msPerSecond = 1000;
+    /// Work of all slots in this time is the most that an organisation may have received less than the others
+    /// when it starts to compete with them.
+    constexpr milliseconds maxLead { 100 };
 
 } // namespace
 
@@ -39,20 +45,79 @@
         return;
     }
     if (m_busy < m_slots && m_queue.empty() && tryCountSend(now)) {
-        ++m_busy;
+        occupySlot(now, request);
         decide(std::nullopt);
         return;
     }
-    const queue_key key { request.priority, -request.depth, request.rank, ++m_sequence };
-    m_queue.emplace(key, waiting_request { request, std::move(decide) });
-    m_queueKeys.emplace(request.id, key);
+    enqueue(now, request, std::move(decide));
     startQueuedRequests(now);
     refuseUnservable(now);
 }
 
-void slot_gate::finish(milliseconds now, std::optional<milliseconds> heldFor)
+/// Assigns a slot to a request and charges its organisation with the work that it is expected to take.
+void slot_gate::occupySlot(milliseconds now, const slot_request& request)
+{
+    ++m_busy;
+    if (request.organisation.empty() && m_share.isEmpty())
+        return;
+    const milliseconds expected(m_serviceMs);
+    m_share.start(now, request.organisation, expected);
+    m_running[request.id] = { request.organisation, now, expected };
+}
+
+void slot_gate::enqueue(milliseconds now, const slot_request& request, decision_hook decide)
+{
+    const queue_position position { { request.priority, -request.depth }, request.organisation,
+        { request.rank, ++m_sequence } };
+    auto& waiting = m_queue[position.group];
+    if (!m_share.isEmpty() && waiting.count(request.organisation) == 0)
+        m_share.join(now, request.organisation, maxLead * m_slots);
+    waiting[request.organisation].emplace(position.order, waiting_request { request, std::move(decide) });
+    m_positions[request.id] = position;
+}
+
+/// Removes a request from the queue.
+/// @return its hook; empty if it does not wait.
+slot_gate::decision_hook slot_gate::removeWaiting(std::uint64_t id)
+{
+    const auto found = m_positions.find(id);
+    if (found == m_positions.end())
+        return {};
+    const auto position = std::move(found->second);
+    m_positions.erase(found);
+    const auto waiting = m_queue.find(position.group);
+    const auto requests = waiting->second.find(position.organisation);
+    const auto item = requests->second.find(position.order);
+    auto decide = std::move(item->second.decide);
+    requests->second.erase(item);
+    if (requests->second.empty())
+        waiting->second.erase(requests);
+    if (waiting->second.empty())
+        m_queue.erase(waiting);
+    return decide;
+}
+
+/// @return the request that starts next; there must be one.
+const slot_gate::waiting_request& slot_gate::getFirst() const
+{
+    const auto& waiting = m_queue.begin()->second;
+    const auto getOrder = [this](const auto& item) {
+        return std::tuple(m_share.getReceived(item.first), item.second.begin()->first);
+    };
+    const auto first = std::min_element(waiting.begin(), waiting.end(),
+        [&](const auto& a, const auto& b) { return getOrder(a) < getOrder(b); });
+    return first->second.begin()->second;
+}
+
+void slot_gate::finish(milliseconds now, std::optional<milliseconds> heldFor, std::uint64_t id)
 {
     m_busy = std::max(0, m_busy - 1);
+    const auto running = m_running.find(id);
+    if (running != m_running.end()) {
+        const auto& ended = running->second;
+        m_share.correct(now, ended.organisation, now - ended.startedAt - ended.charged);
+        m_running.erase(running);
+    }
     if (heldFor) {
         const double sampleMs = heldFor->getCount();
         m_serviceMs
@@ -67,15 +132,7 @@
     m_rejectedShare += rejectionWeight * ((isRejected ? 1 : 0) - m_rejectedShare);
 }
 
-bool slot_gate::cancel(std::uint64_t id)
-{
-    const auto found = m_queueKeys.find(id);
-    if (found == m_queueKeys.end())
-        return false;
-    m_queue.erase(found->second);
-    m_queueKeys.erase(found);
-    return true;
-}
+bool slot_gate::cancel(std::uint64_t id) { return removeWaiting(id) != nullptr; }
 
 void slot_gate::tick(milliseconds now)
 {
@@ -116,25 +173,27 @@
         return;
     auto refused = std::move(m_queue);
     m_queue.clear();
-    m_queueKeys.clear();
-    for (const auto& [key, item] : refused)
-        item.decide(error_kind::TargetLeaving);
+    m_positions.clear();
+    for (const auto& [key, waiting] : refused) {
+        for (const auto& [organisation, requests] : waiting) {
+            for (const auto& [order, item] : requests)
+                item.decide(error_kind::TargetLeaving);
+        }
+    }
 }
 
 slot_report slot_gate::getReport() const
 {
-    return { m_busy, static_cast<int>(m_queue.size()), m_slots, milliseconds(m_serviceMs), m_rejectedShare,
-        m_rateLimit };
+    return { m_busy, static_cast<int>(m_positions.size()), m_slots, milliseconds(m_serviceMs),
+        m_rejectedShare, m_rateLimit };
 }
 
 void slot_gate::startQueuedRequests(milliseconds now)
 {
     while (m_busy < m_slots && !m_queue.empty() && tryCountSend(now)) {
-        const auto first = m_queue.begin();
-        auto decide = std::move(first->second.decide);
-        m_queueKeys.erase(first->second.request.id);
-        m_queue.erase(first);
-        ++m_busy;
+        const auto request = getFirst().request;
+        const auto decide = removeWaiting(request.id);
+        occupySlot(now, request);
         decide(std::nullopt);
     }
 }
@@ -146,22 +205,53 @@
     const auto startInterval = getStartInterval();
     const auto report = getReport();
     const double tokens = m_rateLimit ? m_sendTokens.getTokens(now) : 0;
-    std::vector<decision_hook> refused;
     int position = std::max(0, m_busy - m_slots);
-    for (auto item = m_queue.begin(); item != m_queue.end();) {
+    const auto isServable = [&](const slot_request& request) {
         const auto untilSend = report.getStartTime(std::max(0.0, position + 1 - tokens));
-        const auto expectedStart = now + std::max(startInterval * (position + 1), untilSend);
-        if (expectedStart <= item->second.request.startBy) {
-            ++position;
-            ++item;
-            continue;
-        }
-        refused.push_back(std::move(item->second.decide));
-        m_queueKeys.erase(item->second.request.id);
-        item = m_queue.erase(item);
+        return now + std::max(startInterval * (position + 1), untilSend) <= request.startBy;
+    };
+    std::vector<std::uint64_t> refusedIds;
+    for (const auto& [key, waiting] : m_queue) {
+        forEachInOrder(waiting, [&](const slot_request& request) {
+            const bool isInTime = isServable(request);
+            if (isInTime)
+                ++position;
+            else
+                refusedIds.push_back(request.id);
+            return isInTime;
+        });
     }
+    std::vector<decision_hook> refused;
+    refused.reserve(refusedIds.size());
+    for (const auto id : refusedIds)
+        refused.push_back(removeWaiting(id));
     for (const auto& decide : refused)
         decide(error_kind::Shed);
 }
 
+/// Visits the waiting requests of a group in the order in which they are expected to start.
+/// @param visit returns whether the request is expected to start.
+void slot_gate::forEachInOrder(
+    const group& waiting, const std::function<bool(const slot_request&)>& visit) const
+{
+    using cursor = std::tuple<milliseconds, order_key, const organisation_queue*>;
+    std::vector<cursor> cursors;
+    cursors.reserve(waiting.size());
+    for (const auto& [name, requests] : waiting)
+        cursors.emplace_back(m_share.getReceived(name), requests.begin()->first, &requests);
+    const auto isLater = [](const cursor& a, const cursor& b) {
+        return std::tie(std::get<0>(a), std::get<1>(a)) > std::tie(std::get<0>(b), std::get<1>(b));
+    };
+    std::priority_queue<cursor, std::vector<cursor>, decltype(isLater)> next(isLater, std::move(cursors));
+    while (!next.empty()) {
+        auto [received, order, requests] = next.top();
+        next.pop();
+        const auto item = requests->find(order);
+        if (visit(item->second.request))
+            received = received + milliseconds(m_serviceMs);
+        if (const auto following = std::next(item); following != requests->end())
+            next.emplace(received, following->first, requests);
+    }
+}
+
 } // namespace fuchsiagauge
--- a/policy/slot_gate.h
+++ b/policy/slot_gate.h
@@ -2,13 +2,16 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "policy/fair_share.h"
 #include "policy/token_bucket.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
-#include <tuple>
+#include <string>
+#include <unordered_map>
+#include <utility>
 
 namespace fuchsiagauge {
 
@@ -19,8 +22,10 @@
     /// Depth in the call graph. Within a priority the deepest request starts first, because its failure
     /// wastes the most work.
     int depth = 0;
-    int rank = 0; ///< Within a priority and depth the lowest rank starts first.
+    int rank = 0; ///< Within a priority, depth and organisation the lowest rank starts first.
     milliseconds startBy; ///< Time after which a start is too late to be useful.
+    /// Organisation that the request counts for; all requests without one count as one organisation.
+    std::string organisation {};
 };
 
 /// Load of a gate, as reported to the nodes that send requests to it.
@@ -48,7 +53,11 @@
 /// While the target states a rate limit, requests start no faster than that, free slots or not. All requests
 /// to the target pass its gate, so the limit holds for all nodes together.
 ///
-/// Within a priority and depth the lowest rank starts first. A request and all calls made for it have the
+/// Within a priority and depth the organisation that received least of the target's work in the last seconds
+/// goes first. An organisation that sent nothing for a while gets only a short lead, so that its surge
+/// doesn't keep the others waiting.
+///
+/// Of one organisation the lowest rank starts first. A request and all calls made for it have the
 /// same rank at every gate. Under overload some requests therefore complete all of their calls, and the
 /// others fail at the first one. In order of arrival every request would wait at each of its calls, and most
 /// would exceed their deadlines after part of their work.
@@ -65,7 +74,8 @@
     /// @param now the current time.
     /// @param heldFor how long the request held the slot; std::nullopt if this says nothing about the
     /// target's speed.
-    void finish(milliseconds now, std::optional<milliseconds> heldFor);
+    /// @param id the request whose organisation has held the slot.
+    void finish(milliseconds now, std::optional<milliseconds> heldFor, std::uint64_t id = 0);
 
     /// Counts a request that reached the target.
     /// @param isRejected whether the target rejected it although it had free slots.
@@ -98,26 +108,48 @@
     slot_report getReport() const;
 
 private:
-    /// Priority, depth (deepest first), rank and arrival.
-    using queue_key = std::tuple<int, int, int, std::uint64_t>;
+    using group_key = std::pair<int, int>; ///< Priority and depth, deepest first.
+    using order_key = std::pair<int, std::uint64_t>; ///< Rank and arrival.
 
     struct waiting_request {
         slot_request request;
         decision_hook decide;
     };
 
-    using queue = std::map<queue_key, waiting_request>;
+    using organisation_queue = std::map<order_key, waiting_request>;
+    /// The waiting requests of a priority and depth, by organisation; no organisation has an empty queue.
+    using group = std::map<std::string, organisation_queue>;
+
+    struct queue_position {
+        group_key group;
+        std::string organisation;
+        order_key order;
+    };
+
+    /// A started request that counts for an organisation.
+    struct running_request {
+        std::string organisation;
+        milliseconds startedAt;
+        milliseconds charged; ///< Work that it was expected to take.
+    };
 
     bool tryCountSend(milliseconds now);
+    void occupySlot(milliseconds now, const slot_request& request);
+    void enqueue(milliseconds now, const slot_request& request, decision_hook decide);
+    decision_hook removeWaiting(std::uint64_t id);
+    const waiting_request& getFirst() const;
     /// Starts queued requests while slots are free and the rate limit allows it.
     void startQueuedRequests(milliseconds now);
     /// Refuses queued requests that are expected to start after their `startBy` time.
     void refuseUnservable(milliseconds now);
+    void forEachInOrder(const group& waiting, const std::function<bool(const slot_request&)>& visit) const;
     /// @return the mean time between two starts while all slots are in use.
     milliseconds getStartInterval() const;
 
-    queue m_queue;
-    std::map<std::uint64_t, queue_key> m_queueKeys;
+    std::map<group_key, group> m_queue; ///< No group is empty.
+    std::unordered_map<std::uint64_t, queue_position> m_positions; ///< Of the waiting requests, by id.
+    fair_share m_share;
+    std::unordered_map<std::uint64_t, running_request> m_running; ///< Empty without organisations.
     std::uint64_t m_sequence = 0;
     int m_slots = 1;
     int m_busy = 0;
