policy, platform: Follow a store that is restored from an older copy

A store that is restored states a higher epoch (Store-Era) and assigns lower revisions again. Nodes took its data for outdated and kept acting on the lost revisions. The epoch now goes from the store's answers through the replica and the messages between nodes. The replica compares (epoch, revision), enters a higher epoch by a complete listing only and never returns to a lower one; a reader of a lower epoch is no source. The store client lists the items again when an answer shows a higher epoch, also if the known revision exists in it. The directory keeps entries that the copy lacks as after an outage. A store without the header is epoch 0, and nothing changes.

--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -21,10 +21,10 @@
 
     constexpr std::array eventNames { "node-started", "node-stopping", "node-stopped", "settings-reloaded",
         "settings-refused", "rules-adopted", "rules-refused", "platform-lost", "platform-regained",
-        "watch-replaced", "reading-changed", "key-freshness-changed", "entry-ignored", "instance-changed",
-        "instance-avoided", "request-refused", "request-failed", "request-repeated", "request-asked-again",
-        "request-cancelled", "request-spilled", "limit-changed", "gate-refused", "instance-failed",
-        "pause-detected", "request-served" };
+        "platform-restored", "watch-replaced", "reading-changed", "key-freshness-changed", "entry-ignored",
+        "instance-changed", "instance-avoided", "request-refused", "request-failed", "request-repeated",
+        "request-asked-again", "request-cancelled", "request-spilled", "limit-changed", "gate-refused",
+        "instance-failed", "pause-detected", "request-served" };
     static_assert(eventNames.size() == static_cast<std::size_t>(event_kind::Count));
 
 } // namespace
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -22,6 +22,7 @@
     RulesRefused,
     PlatformLost,
     PlatformRegained,
+    PlatformRestored, ///< The platform's store was restored from an older copy.
     WatchReplaced, ///< A watch of the platform did not report a change and was sent again.
     ReadingChanged, ///< The node started or stopped reading the platform for its availability zone.
     KeyFreshnessChanged, ///< Keys are refused as the rules are not proved current, or accepted again.
--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -386,6 +386,14 @@
                 { "source", exchange.getSource() },
                 { "reads", std::string(exchange.isReader() ? "yes" : "no") } });
     };
+    hooks.onEpochRisen = [this] {
+        directory.onPlatformRestored(time.now());
+        const auto& replica = exchange.getReplica();
+        log.write(event_kind::PlatformRestored, {},
+            { { "epoch", static_cast<double>(replica.getEpoch()) },
+                { "revision", static_cast<double>(replica.getRevision()) },
+                { "rules", static_cast<double>(callContext.rules->version) } });
+    };
     return hooks;
 }
 
--- a/mesh/replica_messages.cpp
+++ b/mesh/replica_messages.cpp
@@ -79,7 +79,8 @@
 std::string formatReplicaPoll(const replica_poll& poll)
 {
     return std::to_string(poll.after) + ' ' + std::to_string(static_cast<long>(poll.wait.getCount())) + ' '
-        + (poll.isOutdated ? "1 " : "0 ") + (poll.isConfirmation ? '1' : '0');
+        + (poll.isOutdated ? "1 " : "0 ") + (poll.isConfirmation ? '1' : '0')
+        + (poll.epoch ? ' ' + std::to_string(*poll.epoch) : std::string());
 }
 
 std::optional<replica_poll> parseReplicaPoll(const std::string& value)
@@ -91,6 +92,10 @@
     int isConfirmation = 0;
     if (!(text >> poll.after >> waitMs >> isOutdated >> isConfirmation) || waitMs < 0)
         return fail(error_kind::BadPeerMessage, "invalid poll for published items: " + value);
+    // Nodes of an earlier version don't send the field, and don't read it.
+    std::uint64_t epoch = 0;
+    if (text >> epoch)
+        poll.epoch = epoch;
     poll.wait = milliseconds(std::min(waitMs, maxWaitMs));
     poll.isOutdated = isOutdated != 0;
     poll.isConfirmation = isConfirmation != 0;
@@ -104,6 +109,8 @@
         { "confirmedAgoMs", static_cast<std::uint64_t>(answer.confirmedAgo.getCount()) },
         { "revision", answer.changes.revision }, { "complete", answer.changes.isComplete },
         { "items", json::array() }, { "removed", json::array() } };
+    if (answer.changes.epoch > 0)
+        document["epoch"] = answer.changes.epoch;
     if (answer.provenAgo) {
         // Rounded so that the asking node takes the items for older rather than newer than they are.
         document["provenAgoMs"] = static_cast<std::uint64_t>(std::ceil(answer.provenAgo->getCount()));
@@ -145,6 +152,7 @@
         answer.heldFor = milliseconds(static_cast<double>(*held));
     }
     answer.changes.revision = revision->get<std::uint64_t>();
+    answer.changes.epoch = findNumber(document, "epoch").value_or(0);
     answer.changes.isComplete = getFlag(document, "complete");
     if (!decodeArray(document, "items", decodeItem, answer.changes.items)
         || !decodeArray(document, "removed", decodeRemoval, answer.changes.removed))
--- a/policy/instance_directory.cpp
+++ b/policy/instance_directory.cpp
@@ -107,6 +107,11 @@
     m_isPlatformDisconnected = false;
 }
 
+void instance_directory::onPlatformRestored(milliseconds now)
+{
+    m_reconnectedAt = std::max(m_reconnectedAt, now);
+}
+
 void instance_directory::tick(milliseconds now)
 {
     forgetStoppedInstances(now);
--- a/policy/instance_directory.h
+++ b/policy/instance_directory.h
@@ -58,6 +58,10 @@
     /// Records that the platform is reachable again.
     void onPlatformReconnected(milliseconds now);
 
+    /// Records that the platform's store was restored from an older copy, which may lack entries until the
+    /// instances have registered again.
+    void onPlatformRestored(milliseconds now);
+
     /// Removes entries that are still missing after the grace period for registering again.
     void tick(milliseconds now);
 
--- a/policy/replica_exchange.cpp
+++ b/policy/replica_exchange.cpp
@@ -69,8 +69,9 @@
 milliseconds replica_exchange::onPlatformRead(const platform_read& read)
 {
     if (m_replica.isComplete())
-        m_proof.onRead(read, m_replica.getRevision());
-    return read.sentAt + m_options.proofInterval;
+        m_proof.onRead(read, m_replica, m_time.now());
+    const auto settledAt = m_proof.getSettledAt();
+    return read.sentAt < settledAt ? settledAt : read.sentAt + m_options.proofInterval;
 }
 
 void replica_exchange::onPlatformUnreachable(const std::string& reason)
@@ -84,7 +85,7 @@
 void replica_exchange::answer(const replica_poll& poll, std::function<void(const replica_answer&)> respond)
 {
     const auto now = m_time.now();
-    if (poll.isOutdated)
+    if (poll.isOutdated || isBehind(poll))
         m_hooks.onOutdated();
     m_heldPolls.push_back({ poll, now, now + poll.wait, std::move(respond) });
     answerHeldPolls(now);
@@ -96,7 +97,7 @@
     if (m_isReader || m_source.empty())
         return;
     const auto host = m_source;
-    m_hooks.sendPoll(host, { m_replica.getRevision(), m_options.pollWait, true, false },
+    m_hooks.sendPoll(host, makePoll(m_options.pollWait, true, false),
         m_options.pollWait + m_options.answerMargin, [this, sentAt = m_time.now()](const auto& answer) {
             if (answer && isPolling())
                 mergeAnswer(*answer, sentAt, m_time.now());
@@ -148,6 +149,9 @@
 {
     if (!isProving() || m_isReader || !m_isPublishing || now - m_proof.getProvenAt() <= m_options.maxProofAge)
         return;
+    // Before that, reading would prove nothing either.
+    if (now < m_proof.getSettledAt() + m_options.pollWait + m_options.answerMargin)
+        return;
     m_isProofOverdue = true;
     updateRole();
 }
@@ -181,12 +185,13 @@
 void replica_exchange::mergeAnswer(const replica_answer& answer, milliseconds sentAt, milliseconds now)
 {
     merge(answer.changes, now);
-    if (!isProving() || !answer.provenAgo || !m_replica.isComplete()
-        || m_replica.getRevision() < answer.changes.revision)
+    const bool areContained = m_replica.isComplete() && m_replica.getEpoch() == answer.changes.epoch
+        && m_replica.getRevision() >= answer.changes.revision;
+    if (!isProving() || !answer.provenAgo || !areContained)
         return;
     const auto provenAt = sentAt + std::min(answer.heldFor, now - sentAt) - *answer.provenAgo;
     m_relayedProvenAt = std::max(m_relayedProvenAt, provenAt);
-    m_proof.onRelayed(provenAt);
+    m_proof.onRelayed(provenAt, answer.changes.epoch);
 }
 
 void replica_exchange::sendDuePoll()
@@ -205,10 +210,9 @@
     // After a failure the next node is only asked for its state, so that this node soon reads by itself if it
     // is cut off from the whole zone.
     const auto wait = m_failedPolls == 0 ? m_options.pollWait : milliseconds();
-    m_hooks.sendPoll(*source, { m_replica.getRevision(), wait, false, !m_isConnected },
-        wait + m_options.answerMargin, [this, host = *source, sentAt = m_time.now()](const auto& answer) {
-            onSourceAnswer(host, answer, sentAt);
-        });
+    m_hooks.sendPoll(*source, makePoll(wait, false, !m_isConnected), wait + m_options.answerMargin,
+        [this, host = *source, sentAt = m_time.now()](
+            const auto& answer) { onSourceAnswer(host, answer, sentAt); });
 }
 
 /// Contacts a node that was unusable, so that it is used again when it has recovered.
@@ -219,7 +223,7 @@
     const auto host = m_selector.takeRecheck(now);
     if (!host)
         return;
-    m_hooks.sendPoll(*host, { m_replica.getRevision(), {}, false, false }, m_options.answerMargin,
+    m_hooks.sendPoll(*host, makePoll({}, false, false), m_options.answerMargin,
         [this, host = *host, sentAt = now](const auto& answer) {
             if (!isPolling())
                 return;
@@ -232,7 +236,8 @@
 bool replica_exchange::recordAnswer(const std::string& host, const std::optional<replica_answer>& answer,
     milliseconds sentAt, milliseconds now)
 {
-    const bool isUsable = answer && answer->isReader && answer->isConnected;
+    const bool isUsable
+        = answer && answer->isReader && answer->isConnected && answer->changes.epoch >= m_replica.getEpoch();
     m_selector.recordUsable(host, isUsable, now);
     if (answer)
         mergeAnswer(*answer, sentAt, now);
@@ -267,7 +272,10 @@
 void replica_exchange::merge(const item_changes& changes, milliseconds now)
 {
     const bool wasComplete = m_replica.isComplete();
+    const auto epochBefore = m_replica.getEpoch();
     const auto added = m_replica.merge(changes);
+    if (wasComplete && m_replica.getEpoch() > epochBefore && m_hooks.onEpochRisen)
+        m_hooks.onEpochRisen();
     if (!wasComplete && m_replica.isComplete()) {
         m_completeSince = now;
         m_hooks.onListed(m_replica.getChangesSince(0));
@@ -275,7 +283,7 @@
     if (m_isPublishing && (!added.items.empty() || !added.removed.empty()))
         m_hooks.onChanges(added);
     if (m_replica.isComplete())
-        m_proof.onMerged(m_replica.getRevision());
+        m_proof.onMerged(m_replica, now);
     answerHeldPolls(now);
 }
 
@@ -288,13 +296,27 @@
         && (isAwaitingRegistrations() || now - m_completeSince < m_options.confirmationTimeout))
         return;
     m_isPublishing = true;
+    m_proof.forgetEarlierEpochs();
     auto all = m_replica.getChangesSince(0);
     all.isComplete = true;
     m_hooks.onChanges(all);
 }
 
+replica_poll replica_exchange::makePoll(milliseconds wait, bool isOutdated, bool isConfirmation) const
+{
+    return { m_replica.getRevision(), wait, isOutdated, isConfirmation, m_replica.getEpoch() };
+}
+
+/// @return whether the asking node knows a higher epoch of the store than this node.
+bool replica_exchange::isBehind(const replica_poll& poll) const
+{
+    return poll.epoch && *poll.epoch > m_replica.getEpoch();
+}
+
 bool replica_exchange::hasNews(const replica_poll& poll) const
 {
+    if (poll.epoch && *poll.epoch != m_replica.getEpoch())
+        return m_replica.isComplete() && *poll.epoch < m_replica.getEpoch();
     if (m_replica.getRevision() <= poll.after)
         return false;
     const auto changes = m_replica.getChangesSince(poll.after);
@@ -308,9 +330,9 @@
     answer.isConnected = isReadingIntact(now);
     answer.connectedFor = answer.isConnected ? now - m_platformReachableSince : milliseconds();
     answer.confirmedAgo = answer.isConnected ? now - m_platformConfirmedAt : milliseconds();
-    answer.changes = m_replica.getChangesSince(held.poll.after);
-    if (m_proof.getProvenAt() > freshness_proof::never) {
-        answer.provenAgo = std::max(milliseconds(), now - m_proof.getProvenAt());
+    answer.changes = m_replica.getChangesSince(held.poll.after, held.poll.epoch);
+    if (m_proof.getProvenInEpochAt() > freshness_proof::never) {
+        answer.provenAgo = std::max(milliseconds(), now - m_proof.getProvenInEpochAt());
         answer.heldFor = now - held.since;
     }
     return answer;
@@ -326,6 +348,7 @@
     for (auto item = m_heldPolls.begin(); item != m_heldPolls.end();) {
         const auto current = item++;
         const bool isDue = now >= current->until || m_isStopped || (wasSource && !isSource)
+            || isBehind(current->poll)
             || (isSource && (current->poll.isConfirmation || hasNews(current->poll)));
         if (isDue)
             due.splice(due.end(), m_heldPolls, current);
--- a/policy/replica_exchange.h
+++ b/policy/replica_exchange.h
@@ -22,11 +22,13 @@
     bool isOutdated = false; ///< The asking node has proof that its items are out of date.
     /// The asking node is not connected: it waits only until the answering node is, not for a change.
     bool isConfirmation = false;
+    /// Epoch of `after`. Nodes of an earlier version, which compare revisions only, don't state it.
+    std::optional<std::uint64_t> epoch = std::nullopt;
 
     friend bool operator==(const replica_poll& a, const replica_poll& b)
     {
-        return std::tie(a.after, a.wait, a.isOutdated, a.isConfirmation)
-            == std::tie(b.after, b.wait, b.isOutdated, b.isConfirmation);
+        return std::tie(a.after, a.wait, a.isOutdated, a.isConfirmation, a.epoch)
+            == std::tie(b.after, b.wait, b.isOutdated, b.isConfirmation, b.epoch);
     }
     friend bool operator!=(const replica_poll& a, const replica_poll& b) { return !(a == b); }
 };
@@ -39,8 +41,8 @@
     milliseconds confirmedAgo; ///< How long ago the platform has confirmed that its items are current.
     item_changes changes;
     /// How long ago the answering node's items were proved current; nothing without proof.
-    std::optional<milliseconds> provenAgo;
-    milliseconds heldFor; ///< How long the poll was held; not stated without proof.
+    std::optional<milliseconds> provenAgo = std::nullopt;
+    milliseconds heldFor {}; ///< How long the poll was held; not stated without proof.
 
     friend bool operator==(const replica_answer& a, const replica_answer& b)
     {
@@ -117,6 +119,9 @@
         /// Called when this node is connected again.
         /// @param since when the source of its knowledge was connected again.
         std::function<void(milliseconds since)> onReconnected;
+        /// Called before the changes of a higher epoch are passed on: the store was restored from an older
+        /// copy, so items that are missing may be published again. May be empty.
+        std::function<void()> onEpochRisen;
     };
 
     /// @param time this node's clock.
@@ -192,6 +197,8 @@
     void checkProof(milliseconds now);
     bool isProving() const { return m_options.proofInterval > milliseconds(); }
     bool isPolling() const { return !m_isStopped || isProving(); }
+    replica_poll makePoll(milliseconds wait, bool isOutdated, bool isConfirmation) const;
+    bool isBehind(const replica_poll& poll) const;
     void mergeAnswer(const replica_answer& answer, milliseconds sentAt, milliseconds now);
     void sendDuePoll();
     void sendRecheck(milliseconds now);
--- a/tests/mesh/replica_messages_test.cpp
+++ b/tests/mesh/replica_messages_test.cpp
@@ -9,7 +9,10 @@
 
 TEST(replica_messages, roundTripsAPoll)
 {
-    const replica_poll poll { 77, milliseconds(600), true, true };
+    replica_poll poll { 77, milliseconds(600), true, true };
+    STRCMP_EQUAL("77 600 1 1", formatReplicaPoll(poll).c_str()); // Of a node of an earlier version.
+    CHECK(parseReplicaPoll(formatReplicaPoll(poll)) == poll);
+    poll.epoch = 3;
     CHECK(parseReplicaPoll(formatReplicaPoll(poll)) == poll);
 }
 
@@ -33,6 +36,7 @@
     CHECK(decodeReplicaAnswer(encodeReplicaAnswer(answer)) == answer);
     answer.provenAgo = milliseconds(70);
     answer.heldFor = milliseconds(600);
+    answer.changes.epoch = 3;
     CHECK(decodeReplicaAnswer(encodeReplicaAnswer(answer)) == answer);
 }
 
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -22,6 +22,7 @@
     int status = 200;
     std::string body;
     bool isConnectionDropped = false; ///< The store closes the connection instead of responding.
+    std::string epoch {}; ///< Epoch that the store states; empty: none.
 };
 
 const char* const firstPage = R"({"items":[{"key":"op/config","value":"e30=","rev":3,"created":1,"lease":0}],
@@ -47,6 +48,8 @@
     std::unique_ptr<store_client> client;
     int probeStatus = 404; ///< Status of the response to probes; 0: none.
     std::string probeBody = "{}";
+    std::string probeEpoch; ///< Epoch that the responses to probes state; empty: none.
+    std::vector<std::uint64_t> epochs; ///< Of each listing and each set of changes.
     int probeCount = 0;
     int relistCount = 0; ///< How often the client is told to list again.
     std::vector<std::shared_ptr<incoming_call>> unansweredProbes;
@@ -74,6 +77,8 @@
         probeTargets.push_back(call->getRequest().target);
         response_head head;
         head.status = probeStatus;
+        if (!probeEpoch.empty())
+            head.fields.add("Store-Era", probeEpoch);
         if (probeStatus == 0)
             unansweredProbes.push_back(call);
         else
@@ -99,11 +104,14 @@
         }
         response_head head;
         head.status = next.status;
+        if (!next.epoch.empty())
+            head.fields.add("Store-Era", next.epoch);
         call->respond(head, next.body);
     }
 
     void record(const item_changes& changes)
     {
+        epochs.push_back(changes.epoch);
         if (changes.isComplete) {
             listings.push_back(changes.items);
             return;
@@ -480,3 +488,52 @@
     io.run_for(std::chrono::milliseconds(20));
     CHECK_COMPARE(probeCount, <=, probesBefore + 1);
 }
+
+// Revisions known before a restore say nothing about the restored store.
+TEST(store_client, listsAgainFromTheStoreItselfInANewEpoch)
+{
+    start({ { 200, lastPage, false, "1" }, { 200, noEvents, false, "1" },
+        { 200, R"({"events":[],"storeRevision":40})", false, "2" },
+        { 200, R"({"items":[],"hasMore":false,"storeRevision":9})", false, "2" } });
+    runUntilWatchIsPending();
+    CHECK_EQUAL(2U, listings.size());
+    CHECK(requestTargets.at(3).find("kv-range") != std::string::npos);
+    CHECK(requestTargets.at(3).find("serializable") == std::string::npos);
+    CHECK(requestTargets.back().find("after=9&waitMs=0") != std::string::npos);
+    CHECK_EQUAL(2U, epochs.back());
+    CHECK(unreachableReasons.empty());
+}
+
+TEST(store_client, noticesANewEpochByAProbe)
+{
+    probeEpoch = "2";
+    probeInterval = milliseconds(1);
+    probeTimeout = milliseconds(1e6);
+    start({ { 200, lastPage, false, "1" }, { 200, noEvents, false, "1" } });
+    runUntil([this] { return requestTargets.size() == 4; });
+    CHECK(requestTargets.back().find("kv-range") != std::string::npos);
+}
+
+// A node never goes back to an older epoch, whoever answers.
+TEST(store_client, takesNothingOfAnEarlierEpoch)
+{
+    start({ { 200, lastPage, false, "2" },
+        { 200, R"({"events":[{"key":"servers/i-2","value":"eA==","rev":13}],"storeRevision":13})", false,
+            "1" },
+        { 410, "{}", false, "1" }, { 200, noEvents, false, "2" } });
+    runUntilWatchIsPending();
+    CHECK(items.empty());
+    CHECK_EQUAL(1U, listings.size());
+    CHECK(requestTargets.back().find("after=12&") != std::string::npos);
+}
+
+TEST(store_client, resumesFromARevisionOfANewEpoch)
+{
+    start({ { 200, lastPage }, { 200, noEvents } });
+    runUntilWatchIsPending();
+    client->pause();
+    pendingWatch.reset();
+    client->resume(4, 1);
+    runUntilWatchIsPending();
+    CHECK(requestTargets.back().find("after=4&") != std::string::npos);
+}
--- a/tests/policy/instance_directory_test.cpp
+++ b/tests/policy/instance_directory_test.cpp
@@ -132,3 +132,15 @@
     directory.setServices({ "nowhere" });
     CHECK_EQUAL(1U, directory.findService("nowhere").size());
 }
+
+// The copy of a restored store lacks instances until they have registered again.
+TEST(instance_directory, keepsEntriesThatARestoredStoreLacks)
+{
+    directory.put(make("one"), now);
+    directory.onPlatformRestored(now);
+    directory.remove("one", now);
+    directory.tick(now + milliseconds(2000));
+    CHECK(directory.find("one") != nullptr);
+    directory.tick(now + milliseconds(2200));
+    POINTERS_EQUAL(nullptr, directory.find("one"));
+}
--- a/tests/policy/item_replica_test.cpp
+++ b/tests/policy/item_replica_test.cpp
@@ -69,3 +69,41 @@
     CHECK(changes.isComplete);
     CHECK_EQUAL(2U, changes.items.size());
 }
+
+// A restored store assigns lower revisions again, for other changes.
+TEST(item_replica, takesLowerRevisionsOfAHigherEpoch)
+{
+    const auto added = replica.merge({ 4, true, { { "a", "2", 3 }, { "c", "1", 4 } }, {}, 1 });
+    CHECK_EQUAL(2U, added.items.size());
+    STRCMP_EQUAL("b", added.removed.at(0).key.c_str());
+    CHECK_EQUAL(4U, replica.getRevision());
+    CHECK_EQUAL(1U, replica.getEpoch());
+    CHECK_EQUAL(1U, replica.merge({ 5, false, { { "b", "3", 5 } }, {}, 1 }).items.size());
+}
+
+TEST(item_replica, neverReturnsToALowerEpoch)
+{
+    replica.merge({ 4, true, { { "a", "2", 3 } }, {}, 1 });
+    const auto added = replica.merge({ 90, true, { { "a", "9", 90 } }, {} });
+    CHECK(added.items.empty() && added.removed.empty());
+    CHECK_EQUAL(4U, replica.getRevision());
+}
+
+// Changes alone don't follow on what was known before the restore.
+TEST(item_replica, entersAnEpochWithACompleteSetOnly)
+{
+    CHECK(replica.merge({ 12, false, { { "a", "2", 12 } }, {}, 1 }).items.empty());
+    CHECK_EQUAL(0U, replica.getEpoch());
+    CHECK_EQUAL(10U, replica.getRevision());
+}
+
+TEST(item_replica, passesOnAllItemsToALowerEpochAndNoneToAHigherOne)
+{
+    replica.merge({ 4, true, { { "a", "2", 3 } }, {}, 1 });
+    const auto all = replica.getChangesSince(10, 0);
+    CHECK(all.isComplete);
+    CHECK_EQUAL(1U, all.items.size());
+    CHECK(replica.getChangesSince(4, 2).items.empty());
+    CHECK_FALSE(replica.getChangesSince(0, 2).isComplete);
+    CHECK_FALSE(replica.getChangesSince(4, 1).isComplete);
+}
--- a/tests/policy/key_freshness_test.cpp
+++ b/tests/policy/key_freshness_test.cpp
@@ -2,6 +2,7 @@
 #include "tests/policy/replica_fleet.h"
 
 #include <algorithm>
+#include <random>
 
 #include <CppUTest/TestHarness.h>
 
@@ -171,6 +172,202 @@
     }
 }
 
+namespace {
+
+constexpr milliseconds outage { 500 };
+constexpr milliseconds rewriteTime { 2000 };
+
+milliseconds drawTime(std::mt19937& random, unsigned limitMs)
+{
+    constexpr double offsetMs = 0.37; // Keeps changes and reads from falling on the same instant.
+    return milliseconds(offsetMs + random() % limitMs);
+}
+
+void healAll(replica_fleet& fleet)
+{
+    for (std::size_t node = 0; node < fleet.getNodeCount(); ++node)
+        fleet.getFaults(node) = {};
+}
+
+/// Restores the store after an outage; its last changes are written again within the next two seconds.
+void restoreAfterOutage(replica_fleet& fleet, std::mt19937& random)
+{
+    constexpr unsigned maxOutageMs = 4000;
+    fleet.setStoreSilent(true);
+    fleet.advance(drawTime(random, maxOutageMs));
+    fleet.restoreStore(1 + random() % 3);
+    fleet.setStoreSilent(false);
+    if (random() % 2 == 0)
+        fleet.restart(random() % fleet.getNodeCount());
+    fleet.advance(milliseconds(static_cast<double>(random() % 2000)));
+}
+
+void addRandomFault(replica_fleet& fleet, std::mt19937& random)
+{
+    const auto node = random() % fleet.getNodeCount();
+    auto& faults = fleet.getFaults(node);
+    switch (random() % 9) {
+    case 0:
+        faults.isCutFromStore = true;
+        break;
+    case 1:
+        faults.isCutFromZone = true;
+        break;
+    case 2:
+        faults.isFrozen = true;
+        break;
+    case 3:
+        faults.answerDelay = drawTime(random, 500);
+        break;
+    case 4:
+        fleet.restart(node);
+        break;
+    case 5:
+        fleet.setStoreSilent(true);
+        break;
+    case 6:
+        fleet.setStoreSilent(false);
+        break;
+    case 7:
+        restoreAfterOutage(fleet, random);
+        break;
+    default:
+        healAll(fleet);
+        break;
+    }
+}
+
+/// Runs a fleet under random faults and changes, then heals it.
+void runRandomFaults(replica_fleet& fleet, unsigned seed)
+{
+    constexpr int faultCount = 60;
+    constexpr milliseconds healingTime { 9000 };
+    std::mt19937 random(seed);
+    int version = 100;
+    for (int count = 0; count < 4; ++count)
+        fleet.publish(std::to_string(++version));
+    fleet.advance(startTime);
+    for (int count = 0; count < faultCount; ++count) {
+        addRandomFault(fleet, random);
+        fleet.publish(std::to_string(++version));
+        fleet.advance(drawTime(random, 1500));
+    }
+    fleet.setStoreSilent(false);
+    healAll(fleet);
+    fleet.advance(healingTime);
+}
+
+} // namespace
+
+// The store comes back from a copy without the last changes, in a new epoch. They are written again later.
+TEST_GROUP_BASE(key_freshness_epoch, TEST_GROUP_CppUTestGroupkey_freshness)
+{
+    std::string last;
+
+    /// Publishes changes, loses them and writes the last one again, with actions at the rise and after it.
+    void loseChanges(milliseconds silence, const std::function<void()>& onRise)
+    {
+        for (int count = 0; count < 3; ++count) {
+            publish();
+            fleet.advance(milliseconds(100));
+        }
+        last = std::to_string(version);
+        fleet.setStoreSilent(true);
+        fleet.advance(silence);
+        fleet.restoreStore(2);
+        fleet.setStoreSilent(false);
+        onRise();
+        fleet.advance(rewriteTime);
+        fleet.publish(last);
+    }
+
+    void expectAllInEpoch(std::uint64_t epoch)
+    {
+        CHECK(fleet.awaitValue(last, startTime) < startTime);
+        fleet.advance(startTime);
+        for (std::size_t node = 0; node < fleet.getNodeCount(); ++node) {
+            CHECK_EQUAL(epoch, fleet.getExchange(node).getReplica().getEpoch());
+            CHECK(mayUseKeys(node));
+        }
+        LONGS_EQUAL(0, fleet.getEpochReversionCount());
+    }
+};
+
+TEST(key_freshness_epoch, reachesEveryNodeThroughTheReaders)
+{
+    loseChanges(outage, [] {});
+    expectAllInEpoch(1);
+    loseChanges(outage, [] {});
+    expectAllInEpoch(2);
+}
+
+// A proof of the old epoch says nothing about a node that has put only items of the new one in force. Any mix
+// of faults, with stores that lose changes while nodes start, must not make a node claim what it lacks.
+TEST(key_freshness_epoch, claimsNoLostChangeUnderRandomFaults)
+{
+    constexpr unsigned firstSeed = 41;
+    constexpr unsigned lastSeed = 50;
+    for (unsigned seed = firstSeed; seed <= lastSeed; ++seed) {
+        replica_fleet faulty { 1, 8, makeOptions() };
+        runRandomFaults(faulty, seed);
+        LONGS_EQUAL(0, faulty.getFalseProofCount());
+        LONGS_EQUAL(0, faulty.getEpochReversionCount());
+        CHECK(faulty.getOldestProofAge() <= contactBound);
+    }
+}
+
+// A node that starts in between knows only what the copy has, also after a long outage.
+TEST(key_freshness_epoch, provesNoLostChangeToARestartedNode)
+{
+    const auto follower = findFollower();
+    const auto reader = fleet.findReaders(0).front();
+    loseChanges(revokeTime, [&] {
+        fleet.restart(follower);
+        fleet.restart(reader);
+    });
+    expectAllInEpoch(1);
+}
+
+TEST(key_freshness_epoch, isSeenFirstByAFollowerThatReadsByItself)
+{
+    const auto follower = findFollower();
+    const auto readers = fleet.findReaders(0);
+    loseChanges(outage, [&] {
+        for (const auto reader : readers)
+            fleet.getFaults(reader).isCutFromStore = true;
+        fleet.getFaults(follower).isCutFromZone = true;
+    });
+    CHECK_EQUAL(1U, fleet.getExchange(follower).getReplica().getEpoch());
+    fleet.getFaults(follower).isCutFromZone = false;
+    fleet.advance(milliseconds(300));
+    for (const auto reader : readers)
+        fleet.getFaults(reader).isCutFromStore = false;
+    expectAllInEpoch(1);
+}
+
+TEST(key_freshness_epoch, reachesANodeThatWasCutOffMeanwhile)
+{
+    const auto follower = findFollower();
+    fleet.getFaults(follower).isCutFromStore = true;
+    fleet.getFaults(follower).isCutFromZone = true;
+    loseChanges(outage, [] {});
+    fleet.advance(revokeTime);
+    CHECK_EQUAL(0U, fleet.getExchange(follower).getReplica().getEpoch());
+    CHECK_FALSE(mayUseKeys(follower));
+    fleet.getFaults(follower) = {};
+    expectAllInEpoch(1);
+}
+
+// The stale reader still answers polls with the items of the old epoch.
+TEST(key_freshness_epoch, neverGoesBackBecauseOfAStaleReader)
+{
+    const auto stale = fleet.findReaders(0).front();
+    loseChanges(outage, [&] { fleet.getFaults(stale).isCutFromStore = true; });
+    fleet.advance(startTime);
+    fleet.getFaults(stale).isCutFromStore = false;
+    expectAllInEpoch(1);
+}
+
 TEST(key_freshness, acceptsKeysUpToNineTenthsOfTheRevocationTime)
 {
     key_freshness limited(milliseconds(5000));
@@ -188,13 +385,49 @@
 TEST(freshness_proof, countsFromTheRequestOnceTheChangesAreContained)
 {
     freshness_proof proof;
-    proof.onRead({ milliseconds(100), 7 }, 7);
+    item_replica replica;
+    replica.merge({ 7, true, {}, {} });
+    proof.onRead({ milliseconds(100), 7 }, replica, milliseconds(110));
     DOUBLES_EQUAL(100, proof.getProvenAt().getCount(), 0);
-    proof.onRead({ milliseconds(200), 9 }, 7);
-    proof.onMerged(8);
+    proof.onRead({ milliseconds(200), 9 }, replica, milliseconds(210));
+    replica.merge({ 8, false, {}, {} });
+    proof.onMerged(replica, milliseconds(220));
     DOUBLES_EQUAL(100, proof.getProvenAt().getCount(), 0);
-    proof.onMerged(9);
+    replica.merge({ 9, false, {}, {} });
+    proof.onMerged(replica, milliseconds(220));
     DOUBLES_EQUAL(200, proof.getProvenAt().getCount(), 0);
-    proof.onRelayed(milliseconds(150));
+    proof.onRelayed(milliseconds(150), 0);
     DOUBLES_EQUAL(200, proof.getProvenAt().getCount(), 0);
 }
+
+// A restored store may lack acknowledged changes until they are written again.
+TEST(freshness_proof, provesNothingSoonAfterANewEpoch)
+{
+    freshness_proof proof;
+    item_replica replica;
+    replica.merge({ 7, true, {}, {} });
+    proof.onRead({ milliseconds(100), 7 }, replica, milliseconds(110));
+    replica.merge({ 5, true, {}, {}, 1 });
+    proof.onMerged(replica, milliseconds(200));
+    proof.onRead({ milliseconds(300), 5, 1 }, replica, milliseconds(310));
+    proof.onRead({ milliseconds(400), 5, 0 }, replica, milliseconds(410));
+    DOUBLES_EQUAL(100, proof.getProvenAt().getCount(), 0);
+    CHECK(proof.getProvenInEpochAt() == freshness_proof::never);
+    const auto settledAt = milliseconds(200) + freshness_proof::settleTime;
+    proof.onRead({ settledAt, 5, 1 }, replica, settledAt);
+    CHECK(proof.getProvenInEpochAt() == settledAt);
+}
+
+// A node may have read the new epoch while its items, and those of the node that it asks, are of the old one.
+TEST(freshness_proof, passesOnNoProofOfTheOldEpochWithTheItemsOfTheNewOne)
+{
+    freshness_proof proof;
+    item_replica replica;
+    replica.merge({ 7, true, {}, {} });
+    proof.onRead({ milliseconds(200), 5, 1 }, replica, milliseconds(210));
+    proof.onRelayed(milliseconds(150), 0);
+    replica.merge({ 5, true, {}, {}, 1 });
+    proof.onMerged(replica, milliseconds(220));
+    DOUBLES_EQUAL(150, proof.getProvenAt().getCount(), 0);
+    CHECK(proof.getProvenInEpochAt() == freshness_proof::never);
+}
--- a/tests/policy/replica_fleet.cpp
+++ b/tests/policy/replica_fleet.cpp
@@ -64,6 +64,7 @@
     ++node.life;
     ++node.reading;
     node.value.clear();
+    node.epoch = 0;
     node.isReading = true;
     node.isReachable = false;
     replica_exchange::hooks hooks;
@@ -144,7 +145,7 @@
     ++m_storeCalls;
     const bool isAnswered = isStoreAnswering(node);
     const auto delay = isAnswered ? storeDelay : requestTimeout;
-    const platform_read read { m_now, m_revision };
+    const platform_read read { m_now, m_revision, m_epoch };
     ++node.proofRun;
     scheduleOn(node, delay, [this, &node, reading = node.reading, isAnswered, failures, read] {
         if (reading != node.reading)
@@ -159,8 +160,7 @@
             });
             return;
         }
-        const auto after = node.exchange->getReplica().getRevision();
-        node.exchange->applyFromPlatform(m_store.getChangesSince(after));
+        node.exchange->applyFromPlatform(getNews(node));
         if (reading != node.reading)
             return;
         node.isReachable = true;
@@ -182,7 +182,7 @@
             return;
         ++m_storeCalls;
         ++m_proofReads;
-        const platform_read read { m_now, m_revision };
+        const platform_read read { m_now, m_revision, m_epoch };
         if (!isStoreAnswering(node)) {
             proveItems(node, m_now + requestTimeout);
             return;
@@ -200,6 +200,9 @@
     for (const auto& node : m_nodes) {
         if (node->faults.isDown || node->faults.isFrozen)
             continue;
+        const auto epoch = node->exchange->getReplica().getEpoch();
+        m_epochReversionCount += epoch < node->epoch ? 1 : 0;
+        node->epoch = epoch;
         const auto provenAt = node->exchange->getProvenAt();
         // A read and a change at the same instant may have come in either order.
         const auto isNewer = [&](const auto& published) { return published.first >= provenAt; };
@@ -246,8 +249,7 @@
             });
             return;
         }
-        const auto after = node.exchange->getReplica().getRevision();
-        const auto changes = m_store.getChangesSince(after);
+        const auto changes = getNews(node);
         const bool isDue = !changes.items.empty() || m_now - openedAt >= watchTimeout;
         m_storeCalls += isDue ? 1 : 0;
         if (isDue)
@@ -271,6 +273,9 @@
 void replica_fleet::applyChanges(sim_node& node, const item_changes& added)
 {
     for (const auto& item : added.items) {
+        // As with the versions of rules, an older value is not put in force.
+        if (m_epoch > 0 && item.value < node.value)
+            continue;
         m_reversionCount += item.value < node.value ? 1 : 0;
         node.value = item.value;
     }
@@ -291,11 +296,24 @@
     m_now = end;
 }
 
+item_changes replica_fleet::getNews(const sim_node& node) const
+{
+    const auto& replica = node.exchange->getReplica();
+    return m_store.getChangesSince(replica.getRevision(), replica.getEpoch());
+}
+
+void replica_fleet::restoreStore(std::size_t lostChanges)
+{
+    m_revision -= lostChanges;
+    const auto& value = m_published.at(m_published.size() - 1 - lostChanges).second;
+    m_store.merge({ m_revision, true, { { "config", value, m_revision } }, {}, ++m_epoch });
+}
+
 void replica_fleet::publish(const std::string& value)
 {
     ++m_revision;
     m_published.emplace_back(m_now, value);
-    m_store.merge({ m_revision, false, { { "config", value, m_revision } }, {} });
+    m_store.merge({ m_revision, false, { { "config", value, m_revision } }, {}, m_epoch });
 }
 
 milliseconds replica_fleet::awaitValue(const std::string& value, milliseconds limit)
--- a/tests/policy/replica_fleet.h
+++ b/tests/policy/replica_fleet.h
@@ -34,6 +34,9 @@
     /// Changes the item `config` in the store.
     void publish(const std::string& value);
 
+    /// Replaces the store's content by a copy without the last changes, in a new epoch.
+    void restoreStore(std::size_t lostChanges);
+
     /// Runs until every node that is neither down nor frozen has a value of `config`.
     /// @return how long it took; more than `limit` if it did not happen in time.
     fuchsiagauge::milliseconds awaitValue(const std::string& value, fuchsiagauge::milliseconds limit);
@@ -53,6 +56,8 @@
     fuchsiagauge::milliseconds getNow() const { return m_now; }
     /// @return the reads of the store itself that were sent only for their proof.
     int getProofReads() const { return m_proofReads; }
+    /// @return how often a node returned to a lower epoch of the store.
+    int getEpochReversionCount() const { return m_epochReversionCount; }
     /// @return how often a node that lacked a change claimed that it contained it.
     int getFalseProofCount() const { return m_falseProofCount; }
     /// @return the age of the oldest proof of the nodes that are neither down nor frozen.
@@ -70,6 +75,7 @@
         node_faults faults;
         std::unique_ptr<fuchsiagauge::replica_exchange> exchange;
         std::string value;
+        std::uint64_t epoch = 0; ///< The highest epoch of the store that the node has reached.
         bool isReading = true;
         bool isReachable = false;
         fuchsiagauge::milliseconds confirmedAt; ///< When the store has last confirmed the node's items.
@@ -88,6 +94,7 @@
         fuchsiagauge::milliseconds timeout, const fuchsiagauge::replica_exchange::answer_hook& onAnswer);
     void readStore(sim_node& node, int failures);
     void watchStore(sim_node& node, fuchsiagauge::milliseconds openedAt);
+    fuchsiagauge::item_changes getNews(const sim_node& node) const;
     void proveItems(sim_node& node, fuchsiagauge::milliseconds dueAt);
     void checkProofs();
     bool isStoreAnswering(const sim_node& node) const;
@@ -99,6 +106,8 @@
     std::map<std::string, sim_node*> m_byHost;
     fuchsiagauge::item_replica m_store;
     std::uint64_t m_revision = 1;
+    std::uint64_t m_epoch = 0;
+    int m_epochReversionCount = 0;
     bool m_isStoreSilent = false;
     fuchsiagauge::replica_exchange::options m_options;
     std::vector<std::pair<fuchsiagauge::milliseconds, std::string>> m_published; ///< Times and values.
