policy, mesh: Keep the limits of organisations over all nodes

Cause: an organisation could send any number of requests, whatever its limit.

Change: each node admits by a bucket with its share of the limit. Nodes lend the shares that they don't need to a coordinator, which lends them on by demand; shares, loans and grants end by durations from the senders' own clocks. Requests beyond the limit get 429 with the time at which the share admits them. The design is in docs/design/quotas.md.

Result: in virtual time with 72 nodes, the sum stays within rate x time + burst in every window of 5 s with cut links, late and doubled messages, frozen and restarted nodes (tests/policy/quota_test.cpp).

--- a/mesh/mesh_context.h
+++ b/mesh/mesh_context.h
@@ -10,6 +10,7 @@
 #include "mesh/target_protocol.h"
 #include "policy/instance_directory.h"
 #include "policy/instance_picker.h"
+#include "policy/quota_agent.h"
 #include "policy/traffic_splitter.h"
 
 #include <functional>
@@ -39,6 +40,7 @@
     std::optional<milliseconds> endsAt;
     /// Called when the instance at an address is not the one listed for it; may be empty.
     std::function<void()> onStaleInstance;
+    quota_agent& quota;
 };
 
 } // namespace fuchsiagauge
--- a/mesh/mesh_counters.cpp
+++ b/mesh/mesh_counters.cpp
@@ -70,4 +70,33 @@
     counter->add();
 }
 
+void mesh_counters::setQuota(const quota_agent& quota, milliseconds now)
+{
+    const auto& current = quota.getStatistics();
+    if (!quota.isEnabled() && current.admitted == 0)
+        return;
+    const auto count = [this](const char* name, const char* help, std::uint64_t before, std::uint64_t after) {
+        m_registry.getCounter(name, help).add(after - before);
+    };
+    count("fuchsiagauge_mesh_quota_admitted_total",
+        "Requests of organisations with a limit that were admitted.", m_quota.admitted, current.admitted);
+    count("fuchsiagauge_mesh_quota_refused_total",
+        "Requests refused since their organisation's share is used up.", m_quota.refused, current.refused);
+    count("fuchsiagauge_mesh_quota_returned_total",
+        "Admitted requests that were refused later without having run.", m_quota.returned, current.returned);
+    count("fuchsiagauge_mesh_quota_reports_total", "Reports of shares sent to the coordinator.",
+        m_quota.reports, current.reports);
+    m_quota = current;
+    m_registry.getGauge("fuchsiagauge_mesh_quota_nodes", "Nodes that the limits are divided by.")
+        .set(quota.getNodeCount());
+    m_registry.getGauge("fuchsiagauge_mesh_quota_lent", "Shares lent to the coordinator, in whole limits.")
+        .set(quota.getLentShare(now));
+    m_registry
+        .getGauge("fuchsiagauge_mesh_quota_borrowed", "Shares borrowed of the coordinator, in whole limits.")
+        .set(quota.getBorrowedShare(now));
+    m_registry
+        .getGauge("fuchsiagauge_mesh_quota_granted", "Shares lent on as the coordinator, in whole limits.")
+        .set(quota.getGrantedShare());
+}
+
 } // namespace fuchsiagauge
--- a/mesh/mesh_counters.h
+++ b/mesh/mesh_counters.h
@@ -2,6 +2,7 @@
 
 #include "core/metrics.h"
 #include "core/peer_envelope.h"
+#include "policy/quota_agent.h"
 
 #include <array>
 #include <map>
@@ -26,6 +27,9 @@
     /// Counts an attempt that has ended.
     void countAttempt(const std::string& instance, attempt_outcome outcome);
 
+    /// Updates the metrics of the limits of organisations; they exist once an organisation has had a limit.
+    void setQuota(const quota_agent& quota, milliseconds now);
+
     metric_counter& retries; ///< Requests retried after an instance may have seen them.
     metric_counter& localRetries; ///< Requests sent to the local instance again after it refused them.
     metric_counter& zoneSpillovers; ///< Requests sent to another availability zone of the same region.
@@ -50,6 +54,7 @@
     std::map<std::string, metric_counter*> m_requests;
     std::map<std::string, latency_distribution*> m_latencies;
     std::map<std::string, metric_counter*> m_attempts;
+    quota_agent::statistics m_quota; ///< As last written to the metrics.
 };
 
 } // namespace fuchsiagauge
--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -7,6 +7,7 @@
 #include "mesh/inbound_call.h"
 #include "mesh/mesh_context.h"
 #include "mesh/outbound_call.h"
+#include "mesh/quota_transport.h"
 #include "mesh/replica_transport.h"
 #include "transport/http_server.h"
 
@@ -87,7 +88,9 @@
     void handlePeerCall(const std::shared_ptr<incoming_call>& call);
     void handleAdminCall(const std::shared_ptr<incoming_call>& call);
     replica_exchange::hooks makeExchangeHooks();
+    quota_agent::hooks makeQuotaHooks();
     void updateNeighbours();
+    void updateQuotaNodes(milliseconds now);
     std::set<std::string> findServices(const traffic_rules& rules) const;
     bool isReady() const;
     void onInstanceChange(const instance_directory::entry& entry, const char* change);
@@ -117,6 +120,7 @@
     peer_pools peerPools;
     platform_hooks platform;
     replica_exchange exchange;
+    quota_agent quota;
     mesh_context callContext;
     http_server callersServer;
     http_server peersServer;
@@ -154,9 +158,10 @@
               const std::string& requestId, const std::string& refusal) { onLocalRetry(requestId, refusal); })
     , peerPools(ioContext, time, memory)
     , exchange(time, makeExchangeOptions(config), config.peersListener.host, makeExchangeHooks())
+    , quota(time.now(), config.peersListener.host, std::random_device {}(), makeQuotaHooks())
     , callContext { config, time, protocol, std::make_shared<const traffic_rules>(), directory, picker,
         splitter, target, peerPools, counters, log, random, std::nullopt,
-        [this] { exchange.reportOutdated(); } }
+        [this] { exchange.reportOutdated(); }, quota }
     , callersServer(ioContext, time, config.maxConnections,
           [this](const std::shared_ptr<incoming_call>& call) { handleClientCall(call); })
     , peersServer(ioContext, time, config.maxConnections,
@@ -224,6 +229,7 @@
     reportRateLimit();
     peerPools.tick();
     exchange.tick();
+    quota.tick(now);
     log.flush();
     if (now - lastHousekeepingAt >= housekeepingInterval)
         runHousekeeping(now);
@@ -239,6 +245,7 @@
     readinessServer.tick();
     metricsServer.tick();
     updateNeighbours();
+    updateQuotaNodes(now);
     picker.pruneUnlisted(directory);
     target.setInstanceCount(static_cast<int>(directory.findService(config.service).size()));
 }
@@ -317,6 +324,8 @@
 {
     if (isReplicaPoll(call->getRequest()))
         serveReplicaPoll(exchange, call);
+    else if (isQuotaMessage(call->getRequest()))
+        serveQuotaMessage(quota, time, call);
     else
         serveInboundCall(callContext, call);
 }
@@ -366,6 +375,40 @@
     return hooks;
 }
 
+quota_agent::hooks mesh_node::state::makeQuotaHooks()
+{
+    quota_agent::hooks hooks;
+    hooks.sendReport = [this](const std::string& host, const quota_report& report, milliseconds timeout,
+                           quota_agent::answer_hook onAnswer) {
+        sendQuotaReport(peerPools, time, config.peersListener.host, { host, config.peersListener.port },
+            report, timeout, std::move(onAnswer));
+    };
+    hooks.sendCall = [this](const std::string& host, const quota_answer& call, milliseconds timeout) {
+        sendQuotaCall(
+            peerPools, time, config.peersListener.host, { host, config.peersListener.port }, call, timeout);
+    };
+    hooks.onCoordinatorChanged
+        = [this](const std::string& host, const std::string& before, const char* reason) {
+              log.write(event_kind::QuotaCoordinatorChanged, {},
+                  { { "host", host }, { "before", before }, { "reason", std::string(reason) },
+                      { "nodes", quota.getNodeCount() } });
+          };
+    return hooks;
+}
+
+/// Tells the quotas of all listed nodes, in any state: each of them may admit requests.
+void mesh_node::state::updateQuotaNodes(milliseconds now)
+{
+    if (!quota.isEnabled() || !hasListing)
+        return;
+    std::vector<std::string> hosts;
+    for (const auto& [id, entry] : directory.getEntries()) {
+        if (directory.hasService(entry.record.service))
+            hosts.push_back(entry.record.target.host);
+    }
+    quota.setNodes(now, std::move(hosts), exchange.isConnected());
+}
+
 /// @return the services that the rules name, and the one of the instance on this VM.
 std::set<std::string> mesh_node::state::findServices(const traffic_rules& rules) const
 {
@@ -417,6 +460,7 @@
     counters.isConnected.set(exchange.isConnected() ? 1 : 0);
     counters.replicaRevision.set(static_cast<double>(exchange.getReplica().getRevision()));
     counters.instances.set(static_cast<double>(directory.getEntries().size()));
+    counters.setQuota(quota, time.now());
     return metrics.formatPrometheusText(time.now());
 }
 
@@ -538,6 +582,8 @@
             { "before", static_cast<double>(previousVersion) },
             { "routes", static_cast<double>(rules.routes.size()) } });
     self.callContext.rules = std::make_shared<const traffic_rules>(std::move(rules));
+    self.quota.setRules(self.time.now(), *self.callContext.rules);
+    self.updateQuotaNodes(self.time.now());
 }
 
 void mesh_node::reportInvalidRules(const std::string& reason)
@@ -550,6 +596,7 @@
 {
     m_state->directory.applyListing(listed, m_state->time.now());
     m_state->hasListing = true;
+    m_state->updateQuotaNodes(m_state->time.now());
     m_state->syncWithLocalInstance();
 }
 
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -3,6 +3,7 @@
 #include "core/text_fields.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace fuchsiagauge {
@@ -84,8 +85,41 @@
         if (const auto self = weak.lock())
             self->onClientDisconnect();
     });
-    if (selectRoute())
+    if (!selectRoute())
+        return;
+    if (m_organisation && m_organisation->ratePerSecond > 0)
+        awaitQuota();
+    else
+        startAttempt();
+}
+
+/// Starts the first attempt once the request is within the limit of its organisation.
+void outbound_call::awaitQuota()
+{
+    m_context.quota.admit(m_context.time.now(), m_organisation->name,
+        [self = shared_from_this()](const quota_agent::decision& result) { self->onQuotaDecision(result); });
+}
+
+void outbound_call::onQuotaDecision(const quota_agent::decision& result)
+{
+    m_hasQuotaCredit = result.isAdmitted;
+    if (m_isEnded) {
+        giveBackQuota();
+        return;
+    }
+    if (result.isAdmitted) {
         startAttempt();
+        return;
+    }
+    respondWithError(tooManyRequestsStatus, "quota", "limit of organisation " + m_organisation->name,
+        std::ceil(result.retryAfter.getCount()) / msPerSecond);
+}
+
+/// Returns the credit of a request that has not run and never will.
+void outbound_call::giveBackQuota()
+{
+    if (std::exchange(m_hasQuotaCredit, false))
+        m_context.quota.giveBack(m_context.time.now(), m_organisation->name);
 }
 
 bool outbound_call::selectRoute()
@@ -493,6 +527,7 @@
 {
     const std::string reason = getAttemptOutcomeName(last.outcome);
     if (!m_possibleRunResult) {
+        giveBackQuota();
         const bool isRejected
             = last.outcome == attempt_outcome::Rejected || last.outcome == attempt_outcome::OverBudget;
         recordDownstreamFailure(isRejected ? downstream_failure::Rejected : downstream_failure::NoRoom);
@@ -588,7 +623,8 @@
     if (m_isEnded)
         return;
     const auto now = m_context.time.now();
-    cancelAttempts(health_signal::Cancelled);
+    if (!cancelAttempts(health_signal::Cancelled) && !m_possibleRunResult)
+        giveBackQuota();
     const auto latency = now - m_incoming->getArrivalTime();
     m_context.counters.countRequest(m_route ? m_route->name : std::string(), 0, "client-left", latency, now);
     m_context.log.write(event_kind::RequestCancelled, m_clientInfo.requestId,
--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -50,6 +50,9 @@
     bool selectRoute();
     void inheritFromParent();
     bool identifyOrganisation();
+    void awaitQuota();
+    void onQuotaDecision(const quota_agent::decision& result);
+    void giveBackQuota();
     int getPriority() const;
     void recordDownstreamFailure(downstream_failure failure);
     pick_request makePickRequest(milliseconds now) const;
@@ -89,6 +92,7 @@
     /// The running request that the local instance makes this call for.
     std::optional<parent_request> m_parent;
     const organisation* m_organisation = nullptr; ///< Whose key the request has; belongs to `m_rules`.
+    bool m_hasQuotaCredit = false; ///< Counted against the limit of the organisation.
     std::string m_service;
     milliseconds m_expiresAt;
     attempt_history m_history { 1, false };
