--- a/mesh/mesh_context.h
+++ b/mesh/mesh_context.h
@@ -10,6 +10,7 @@
 #include "mesh/target_protocol.h"
 #include "policy/instance_directory.h"
 #include "policy/instance_picker.h"
+#include "policy/quota_agent.h"
 #include "policy/traffic_splitter.h"
 
 #include <functional>
@@ -41,6 +42,7 @@
     std::function<void()> onStaleInstance;
     /// @return whether the rules are proved current enough to identify requests by keys.
     std::function<bool()> mayUseKeys;
+    quota_agent& quota;
 };
 
 } // namespace fuchsiagauge
--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -51,6 +51,9 @@
     void inheritFromParent();
     bool identifyOrganisation();
     bool mayUseKeys();
+    void awaitQuota();
+    void onQuotaDecision(const quota_agent::decision& result);
+    void giveBackQuota();
     int getPriority() const;
     void recordDownstreamFailure(downstream_failure failure);
     pick_request makePickRequest(milliseconds now) const;
@@ -90,6 +93,7 @@
     /// The running request that the local instance makes this call for.
     std::optional<parent_request> m_parent;
     const organisation* m_organisation = nullptr; ///< Whose key the request has; belongs to `m_rules`.
+    bool m_hasQuotaCredit = false; ///< Counted against the limit of the organisation.
     std::string m_service;
     milliseconds m_expiresAt;
     attempt_history m_history { 1, false };
