policy: Fill instances that have started or recovered at the pace of their answers

The slowness learned while cold also kept callers away later.

policy/fill_pace now decides in the gate how many requests may run at once, and replaces the factor. Replies state the usable slots, calls state the usual time of the route and what the caller knows of the other instances. Callers send their first requests to a new instance at random moments.

A sole instance gets exactly what it got.

--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -23,8 +23,8 @@
         "settings-refused", "rules-adopted", "rules-refused", "platform-lost", "platform-regained",
         "watch-replaced", "reading-changed", "entry-ignored", "instance-changed", "instance-avoided",
         "request-refused", "request-failed", "request-repeated", "request-asked-again", "request-cancelled",
-        "request-spilled", "limit-changed", "gate-refused", "instance-failed", "pause-detected",
-        "request-served" };
+        "request-spilled", "limit-changed", "fill-changed", "gate-refused", "instance-failed",
+        "pause-detected", "request-served" };
     static_assert(eventNames.size() == static_cast<std::size_t>(event_kind::Count));
 
 } // namespace
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -34,6 +34,7 @@
     RequestCancelled, ///< The client disconnected before the response.
     RequestSpilled, ///< The request was sent to another availability zone or region.
     LimitChanged, ///< The instance of this node stated another rate limit, or none any more.
+    FillChanged, ///< The instance of this node was opened further to requests, or less far.
     GateRefused, ///< The admission gate of the instance's node refused a request.
     InstanceFailed, ///< The instance of this node did not respond to a request or did not run it.
     PauseDetected, ///< The process was suspended or not scheduled for too long.
--- a/core/peer_envelope.h
+++ b/core/peer_envelope.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/fill_hint.h"
 
 #include <optional>
 #include <string>
@@ -43,6 +44,8 @@
     std::string organisation;
     /// The organisation is that of the parent request: the request has no key of its own.
     bool isOrganisationInherited = false;
+    /// For an instance that may have just started or recovered. Sent apart from the other metadata.
+    std::optional<fill_hint> fillHint;
 };
 
 /// Outcome of an attempt to send a request to an instance.
--- a/mesh/inbound_call.cpp
+++ b/mesh/inbound_call.cpp
@@ -39,6 +39,7 @@
                     { "detail", result.detail }, { "busy", static_cast<double>(reply.busy) },
                     { "waiting", static_cast<double>(reply.waiting) },
                     { "slots", static_cast<double>(reply.slots) },
+                    { "fill", std::string(getFillStateName(context.target.getFillState())) },
                     { "service_ms", reply.serviceTime.getCount() },
                     { "limit_per_s", result.load.rateLimit.value_or(0) },
                     { "start_within_ms", call.startWithin.getCount() },
@@ -53,6 +54,8 @@
                 peer_header::rejectedShare, formatRejectedShare(result.load.rejectedShare));
         if (result.load.rateLimit)
             result.head.fields.add(peer_header::rateLimit, formatRateLimit(*result.load.rateLimit));
+        if (result.load.isFilling())
+            result.head.fields.add(fullSlotsHeader, std::to_string(result.load.fullSlots));
         if (result.isInstanceLeaving)
             result.head.fields.add(peer_header::leaving, "1");
         incoming.respond(result.head, result.body);
@@ -74,6 +77,8 @@
     call->rateLimit = parseRateLimit(request.fields.find(peer_header::rateLimit));
     request.fields.erase(peer_header::call);
     request.fields.erase(peer_header::rateLimit);
+    call->fillHint = parseFillHint(request.fields.find(fillHintHeader));
+    request.fields.erase(fillHintHeader);
     parsePeerOrganisation(request.fields.find(peer_header::organisation), *call);
     request.fields.erase(peer_header::organisation);
     if (context.rules->hasOrganisations())
--- a/mesh/local_target.cpp
+++ b/mesh/local_target.cpp
@@ -13,6 +13,7 @@
     constexpr milliseconds connectTimeout { 300 }; ///< Short, since the instance is on the same VM.
     constexpr milliseconds idleTimeout { 5000 }; ///< Used if the instance does not state one.
 
+    constexpr int firstServerErrorStatus = 500;
     constexpr int gatewayTimeoutStatus = 504;
     /// Limits how often a request is sent to the local instance. With this limit, an instance that refuses
     /// half of the sends still runs all but about one in a hundred requests.
@@ -79,7 +80,7 @@
         refuse(id, attempt_outcome::OverBudget);
         return id;
     }
-    m_gate.submit(now, { id, call.priority, call.depth, call.rank, now + call.startWithin },
+    m_gate.submit(now, { id, call.priority, call.depth, call.rank, now + call.startWithin, call.fillHint },
         [this, id](std::optional<error_kind> refusal) {
             if (refusal)
                 refuse(id,
@@ -217,6 +218,10 @@
     attempt_result result;
     result.outcome = outcome;
     describeInstance(result);
+    if (outcome == attempt_outcome::NoRoom && result.load.isFilling())
+        result.detail = std::string("the instance is ") + getFillStateName(getFillState()) + ": "
+            + std::to_string(result.load.slots) + " of " + std::to_string(result.load.fullSlots)
+            + " slots are usable";
     onEnd(std::move(result));
 }
 
@@ -243,6 +248,7 @@
     const auto heldFor = now - active.startedAt;
     auto result = readResult(std::move(outgoing));
     result.downstreamFailure = active.downstreamFailure;
+    recordOutcome(active, result);
     const bool isServiceTimeSample
         = result.outcome == attempt_outcome::Answered || result.outcome == attempt_outcome::TimedOut;
     m_gate.finish(now, isServiceTimeSample ? std::optional(heldFor) : std::nullopt);
@@ -251,6 +257,20 @@
     active.onEnd(std::move(result));
 }
 
+/// Tells the gate how a request ended, as far as it shows how much the instance can take.
+void local_target::recordOutcome(const active_request& active, const attempt_result& result)
+{
+    auto outcome = fill_outcome::Failed;
+    if (result.outcome == attempt_outcome::Rejected || result.outcome == attempt_outcome::Misdirected)
+        outcome = fill_outcome::Rejected;
+    else if (result.outcome == attempt_outcome::Answered
+        && (result.head.status < firstServerErrorStatus
+            || result.downstreamFailure != downstream_failure::None))
+        outcome = fill_outcome::Answered;
+    const auto now = m_time.now();
+    m_gate.recordOutcome(now, outcome, now - active.startedAt, active.call.fillHint);
+}
+
 /// Adds what is known of the instance to the result of an attempt.
 void local_target::describeInstance(attempt_result& result) const
 {
--- a/mesh/local_target.h
+++ b/mesh/local_target.h
@@ -95,6 +95,12 @@
     /// Closes idle connections and forgets what the instance has stated. Used after it has been replaced.
     void onInstanceReplaced();
 
+    /// Lets few requests run at first. Used for an instance that has just started.
+    void beginFilling() { m_gate.beginFilling(m_time.now()); }
+
+    /// @return how far the instance has been opened to requests.
+    fill_state getFillState() const { return m_gate.getFillState(); }
+
     /// @return the slots of the instance and the requests waiting for them.
     slot_report getLoad() const { return m_gate.getReport(); }
 
@@ -116,6 +122,7 @@
     void start(std::uint64_t id);
     void sendToInstance(std::uint64_t id, active_request& active);
     void describeInstance(attempt_result& result) const;
+    void recordOutcome(const active_request& active, const attempt_result& result);
     void recordArrival(const outgoing_result& outgoing);
     void recordStatements(const target_response_info& info);
     bool mayRetryLocally(const active_request& active, const outgoing_result& outgoing);
--- a/mesh/mesh_counters.cpp
+++ b/mesh/mesh_counters.cpp
@@ -19,6 +19,10 @@
     , slotsBusy(registry.getGauge("fuchsiagauge_mesh_slots_busy", "Slots of the local instance in use."))
     , slotsWaiting(registry.getGauge(
           "fuchsiagauge_mesh_slots_waiting", "Requests waiting for a slot of the local instance."))
+    , slotsUsable(registry.getGauge("fuchsiagauge_mesh_slots_usable",
+          "Slots of the local instance that are usable now; fewer than all after a start or a recovery."))
+    , fillState(registry.getGauge("fuchsiagauge_mesh_fill_state",
+          "How far the local instance is open to requests; 0: full, 1: starting, 2: recovering."))
     , rateLimit(registry.getGauge("fuchsiagauge_mesh_rate_limit",
           "Requests per second that the local instance takes at most; 0 if it states no limit."))
     , openCalls(registry.getGauge("fuchsiagauge_mesh_open_calls", "Requests that have no response yet."))
--- a/mesh/mesh_counters.h
+++ b/mesh/mesh_counters.h
@@ -35,6 +35,8 @@
     metric_gauge& instances;
     metric_gauge& slotsBusy;
     metric_gauge& slotsWaiting;
+    metric_gauge& slotsUsable; ///< All slots, unless the instance has just started or recovered.
+    metric_gauge& fillState; ///< As `fill_state`: 0 full, 1 starting, 2 recovering.
     metric_gauge& rateLimit; ///< Stated by the local instance, in requests per second; 0 if there is none.
     metric_gauge& openCalls;
     metric_counter& platformCalls;
--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -83,6 +83,7 @@
     void runHousekeeping(milliseconds now);
     void detectPause(milliseconds now);
     void reportRateLimit();
+    void reportFilling();
     void handleClientCall(const std::shared_ptr<incoming_call>& call);
     void handlePeerCall(const std::shared_ptr<incoming_call>& call);
     void handleAdminCall(const std::shared_ptr<incoming_call>& call);
@@ -131,6 +132,7 @@
     std::string localInstanceKey;
     /// Since when the instance on this VM is known to be draining or gone.
     std::optional<milliseconds> localInstanceLeavingSince;
+    fill_state reportedFillState = fill_state::Full; ///< Last logged state of the local instance.
     std::optional<double> reportedRateLimit; ///< Last logged rate limit of the local instance.
     bool hasListing = false;
     bool isStopping = false;
@@ -222,6 +224,7 @@
     updateLocalGate(now);
     target.tick();
     reportRateLimit();
+    reportFilling();
     peerPools.tick();
     exchange.tick();
     log.flush();
@@ -262,6 +265,23 @@
     reportedRateLimit = limit;
 }
 
+/// Logs when the local instance starts to be filled with requests, and when it is full.
+void mesh_node::state::reportFilling()
+{
+    const auto state = target.getFillState();
+    if (state == reportedFillState)
+        return;
+    const auto load = target.getLoad();
+    log.write(event_kind::FillChanged, {},
+        { { "instance", localInstanceKey }, { "state", std::string(getFillStateName(state)) },
+            { "before", std::string(getFillStateName(reportedFillState)) },
+            { "usable", static_cast<double>(load.slots) },
+            { "slots", static_cast<double>(load.isFilling() ? load.fullSlots : load.slots) },
+            { "busy", static_cast<double>(load.busy) }, { "waiting", static_cast<double>(load.waiting) },
+            { "rejected_share", load.rejectedShare }, { "service_ms", load.serviceTime.getCount() } });
+    reportedFillState = state;
+}
+
 /// @return whether the node is stopping and the notice period for clients and peers has ended.
 bool mesh_node::state::isRefusingCalls() const
 {
@@ -411,6 +431,8 @@
     const auto load = target.getLoad();
     counters.slotsBusy.set(load.busy);
     counters.slotsWaiting.set(load.waiting);
+    counters.slotsUsable.set(load.slots);
+    counters.fillState.set(static_cast<double>(target.getFillState()));
     counters.rateLimit.set(load.rateLimit.value_or(0));
     counters.openCalls.set(static_cast<double>(openCalls.size()));
     counters.isReader.set(exchange.isReader() ? 1 : 0);
@@ -447,8 +469,11 @@
     const auto startKey = entry->record.id + '/' + std::to_string(entry->record.startedAtMs);
     if (startKey == localInstanceKey)
         return;
-    if (!localInstanceKey.empty())
+    const bool isReplaced = !localInstanceKey.empty();
+    if (isReplaced)
         target.onInstanceReplaced();
+    if (isRecentStart(entry->record, getWallTimeMs(), isReplaced))
+        target.beginFilling();
     localInstanceKey = startKey;
 }
 
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -248,6 +248,7 @@
     call.isIdempotent = m_route->isIdempotent;
     call.instance = m_instance;
     call.rateLimit = m_context.picker.getRateLimit(m_instance);
+    call.fillHint = m_context.picker.makeFillHint(now, makePickRequest(now), chosen, m_context.directory);
     call.callerService = m_context.config.service;
     call.requestId = m_clientInfo.requestId;
     if (m_organisation) {
@@ -300,6 +301,8 @@
     outgoing.request.fields.add(peer_header::call, formatPeerCall(call));
     if (call.rateLimit)
         outgoing.request.fields.add(peer_header::rateLimit, formatRateLimit(*call.rateLimit));
+    if (call.fillHint)
+        outgoing.request.fields.add(fillHintHeader, formatFillHint(*call.fillHint));
     if (!call.organisation.empty())
         outgoing.request.fields.add(peer_header::organisation, formatPeerOrganisation(call));
     outgoing.expiresAt = m_expiresAt;
@@ -330,13 +333,15 @@
     result.outcome = reply->outcome;
     result.load = { reply->busy, reply->waiting, reply->slots, reply->serviceTime,
         parseRejectedShare(outgoing.head.fields.find(peer_header::rejectedShare)),
-        parseRateLimit(outgoing.head.fields.find(peer_header::rateLimit)) };
+        parseRateLimit(outgoing.head.fields.find(peer_header::rateLimit)),
+        parseFullSlots(outgoing.head.fields.find(fullSlotsHeader)) };
     result.hasLoad = true;
     result.isInstanceLeaving = outgoing.head.fields.find(peer_header::leaving) != nullptr;
     result.downstreamFailure = reply->downstreamFailure;
     outgoing.head.fields.erase(peer_header::reply);
     outgoing.head.fields.erase(peer_header::rejectedShare);
     outgoing.head.fields.erase(peer_header::rateLimit);
+    outgoing.head.fields.erase(fullSlotsHeader);
     outgoing.head.fields.erase(peer_header::leaving);
     result.head = std::move(outgoing.head);
     if (result.outcome == attempt_outcome::Answered)
--- a/policy/instance_picker.cpp
+++ b/policy/instance_picker.cpp
@@ -39,7 +39,16 @@
     /// flight, as any of them could have been answered.
     constexpr double unresponsiveRunTimes = 6;
     constexpr double unresponsiveWaits = 2;
-    constexpr double coldStartSlowdown = 2; ///< Factor on the run time of a cold instance.
+    /// The nodes send their first requests to a new instance within this time.
+    constexpr milliseconds introductionTime { 500 };
+    /// Instances that are listed within this time have started together; none of them is new to the others.
+    constexpr milliseconds commonStartTime { 1000 };
+    constexpr milliseconds passingSlownessHalfLife { 500 };
+    constexpr int unreportedSlots = 1; ///< Assumed of a new instance.
+    /// An instance with a longer wait, as a share of the request's spare time, is no alternative to a new
+    /// one.
+    constexpr double alternativeWaitShare = 0.25;
+    constexpr double alternativeFailureRate = 0.5; ///< Nor is one that fails more often.
     /// Instances of the own zone that were idle for longer get a request.
     constexpr milliseconds idleProbeInterval { 500 };
     /// Used for an instance that has not reported its service time yet.
@@ -63,6 +72,7 @@
 const instance_directory::entry* instance_picker::choose(
     milliseconds now, const pick_request& request, const instance_directory& directory)
 {
+    scheduleIntroductions(request.service, directory);
     if (const auto* idle = findIdleInstance(now, request, directory))
         return idle;
     for (const bool mayUseAvoided : { false, true }) {
@@ -70,7 +80,9 @@
         for (const auto* candidate : directory.findService(request.service)) {
             if (!isEligible(now, request, *candidate, mayUseAvoided))
                 continue;
-            const double cost = getCost(now, request, *candidate, m_stats[candidate->record.id]);
+            // Jitter keeps nodes with the same view from all choosing the same instance.
+            const double cost
+                = getCost(now, request, *candidate, m_stats[candidate->record.id]).getTotal(m_random());
             if (!best.candidate || cost < best.cost)
                 best = { candidate, cost };
         }
@@ -142,11 +154,19 @@
 void instance_picker::onReport(const std::string& id, milliseconds now, const slot_report& report)
 {
     auto& stats = m_stats[id];
+    m_runTimes.fade(id, stats.getSlownessShare(now));
     stats.report = report;
+    if (report.isFilling())
+        stats.filledAt = now;
     stats.reportedAt = now;
     stats.sentSinceReport = 0;
 }
 
+double instance_picker::instance_stats::getSlownessShare(milliseconds now) const
+{
+    return isSlownessPassing(now) ? std::exp2(-((now - reportedAt) / passingSlownessHalfLife)) : 1;
+}
+
 std::optional<double> instance_picker::getRateLimit(const std::string& id) const
 {
     const auto found = m_stats.find(id);
@@ -187,13 +207,13 @@
     std::optional<double> least;
     for (const auto* candidate : directory.findService(service)) {
         const auto found = m_stats.find(candidate->record.id);
-        const double waitMs = found == m_stats.end() ? 0 : estimateQueueWait(now, found->second);
+        const double waitMs = found == m_stats.end() ? 0 : estimateQueueWait(now, found->second, *candidate);
         least = std::min(least.value_or(waitMs), waitMs);
     }
     return milliseconds(least.value_or(0));
 }
 
-double instance_picker::getCost(milliseconds now, const pick_request& request,
+instance_picker::pick_cost instance_picker::getCost(milliseconds now, const pick_request& request,
     const instance_directory::entry& candidate, const instance_stats& stats) const
 {
     const double serviceMs = stats.report.serviceTime.getCount() > 0 ? stats.report.serviceTime.getCount()
@@ -202,20 +222,25 @@
     const double failureRate = std::max(getFailureRate(stats, now), getRejectedShare(stats, now));
     const double failureCost
         = std::max(0.0, failureRate - toleratedFailureRate) * failureCostInTargets * targetMs;
-    // Jitter keeps nodes with the same view from all choosing the same instance.
-    const double jitter = m_random() * serviceMs * jitterShare;
-    return getDistanceCost(request, candidate.record.zone) + estimateQueueWait(now, stats)
-        + getRunCost(now, request, candidate) + failureCost + jitter;
+    pick_cost cost;
+    cost.distance = getDistanceCost(request, candidate.record.zone);
+    cost.wait = estimateQueueWait(now, stats, candidate);
+    cost.run = getRunCost(now, request, candidate, stats);
+    cost.failure = failureCost;
+    if (!stats.hasReport(candidate))
+        cost.introduction = std::max(0.0, (stats.introducedAt - now).getCount());
+    cost.maxJitter = serviceMs * jitterShare;
+    return cost;
 }
 
-double instance_picker::getRunCost(
-    milliseconds now, const pick_request& request, const instance_directory::entry& candidate) const
+double instance_picker::getRunCost(milliseconds now, const pick_request& request,
+    const instance_directory::entry& candidate, const instance_stats& stats) const
 {
     auto estimate = m_runTimes.estimate(candidate.record.id, request.route);
     if (!estimate)
         return 0;
-    if (now < candidate.coldUntil)
-        estimate->logMean += std::log(coldStartSlowdown);
+    const double usual = m_runTimes.getUsualLogMean(request.route);
+    estimate->logMean = usual + (estimate->logMean - usual) * stats.getSlownessShare(now);
     return estimate->getMean().getCount() * runTimeWeight
         + estimate->getExcessProbability(request.latencyTarget) * lateCostInTargets
         * request.latencyTarget.getCount();
@@ -242,10 +267,17 @@
                                                           : otherRegionCostShare * spareMs;
 }
 
-double instance_picker::estimateQueueWait(milliseconds now, const instance_stats& stats)
+double instance_picker::estimateQueueWait(
+    milliseconds now, const instance_stats& stats, const instance_directory::entry& candidate)
 {
     const auto& report = stats.report;
     const double untilStart = estimateRateWait(now, stats);
+    if (!stats.hasReport(candidate)) {
+        const bool isNew = stats.introducedSince == candidate.firstSeenAt;
+        const int slots = isNew ? unreportedSlots : std::max(1, candidate.record.slots);
+        const int ahead = std::max(0, stats.ownInFlight + 1 - slots);
+        return std::max(untilStart, defaultServiceTimeMs * ahead / slots);
+    }
     if (report.serviceTime.getCount() <= 0)
         return untilStart;
     // The instance has completed requests since the report.
@@ -255,6 +287,66 @@
     return std::max(untilStart, report.serviceTime.getCount() * std::max(0.0, ahead) / report.slots);
 }
 
+/// Draws the moments of this node's first requests to new instances.
+void instance_picker::scheduleIntroductions(const std::string& service, const instance_directory& directory)
+{
+    std::optional<milliseconds> firstKnownAt;
+    std::vector<const instance_directory::entry*> unknown;
+    for (const auto* candidate : directory.findService(service)) {
+        const auto found = m_stats.find(candidate->record.id);
+        if (found != m_stats.end() && found->second.hasReport(*candidate))
+            firstKnownAt = std::min(firstKnownAt.value_or(candidate->firstSeenAt), candidate->firstSeenAt);
+        else
+            unknown.push_back(candidate);
+    }
+    for (const auto* candidate : unknown) {
+        if (!firstKnownAt || candidate->firstSeenAt - *firstKnownAt < commonStartTime)
+            continue;
+        auto& stats = m_stats[candidate->record.id];
+        if (stats.introducedSince == candidate->firstSeenAt)
+            continue;
+        stats.introducedSince = candidate->firstSeenAt;
+        stats.introducedAt = candidate->firstSeenAt + introductionTime * m_random();
+    }
+}
+
+std::optional<fill_hint> instance_picker::makeFillHint(milliseconds now, const pick_request& request,
+    const instance_directory::entry& chosen, const instance_directory& directory) const
+{
+    const auto found = m_stats.find(chosen.record.id);
+    const bool isFull
+        = found != m_stats.end() && found->second.hasReport(chosen) && !found->second.report.isFilling();
+    if (isFull)
+        return std::nullopt;
+    const auto& candidates = directory.findService(request.service);
+    const auto hasOther = [&](bool isBusyToo) {
+        return std::any_of(candidates.begin(), candidates.end(), [&](const auto* candidate) {
+            return candidate != &chosen && isAlternative(now, request, *candidate, isBusyToo);
+        });
+    };
+    auto others = other_instances::None;
+    if (hasOther(false))
+        others = other_instances::Free;
+    else if (hasOther(true))
+        others = other_instances::Busy;
+    return fill_hint { m_runTimes.getUsualTime(request.route), others };
+}
+
+/// @param isBusyToo whether an instance at which requests wait counts.
+/// @return whether the request could go to this instance, which has not just started or recovered.
+bool instance_picker::isAlternative(milliseconds now, const pick_request& request,
+    const instance_directory::entry& candidate, bool isBusyToo) const
+{
+    const auto found = m_stats.find(candidate.record.id);
+    if (found == m_stats.end() || !isEligible(now, request, candidate, false))
+        return false;
+    const auto& stats = found->second;
+    const double longestWait = request.spareTime.getCount() * alternativeWaitShare;
+    return stats.hasReport(candidate) && !stats.report.isFilling()
+        && getFailureRate(stats, now) < alternativeFailureRate
+        && (isBusyToo || estimateQueueWait(now, stats, candidate) <= longestWait);
+}
+
 /// @return the expected wait for the rate limit of the instance, in milliseconds.
 double instance_picker::estimateRateWait(milliseconds now, const instance_stats& stats)
 {
@@ -303,7 +395,9 @@
         if (candidate->record.zone != m_location.zone || !isEligible(now, request, *candidate, false))
             continue;
         const auto found = m_stats.find(candidate->record.id);
-        if (found == m_stats.end() || now - found->second.sentAt > idleProbeInterval)
+        const bool isDue = found == m_stats.end()
+            || (now - found->second.sentAt > idleProbeInterval && now >= found->second.introducedAt);
+        if (isDue)
             return candidate;
     }
     return nullptr;
--- a/policy/instance_picker.h
+++ b/policy/instance_picker.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "core/clock.h"
+#include "core/fill_hint.h"
 #include "policy/instance_directory.h"
 #include "policy/run_time_model.h"
 #include "policy/slot_gate.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -53,6 +55,10 @@
 /// long as its queue lets it respond in time, then one farther away. All statistics decay, so an instance
 /// that was avoided is eventually tried again.
 ///
+/// An instance whose node has not reported counts as one with few free slots. If it was listed later than
+/// others that have, the nodes send it their first requests at different, random moments: they all see it at
+/// the same time, and know nothing of each other's requests.
+///
 /// An instance that has requests from this node in flight and answers none of them for much longer than one
 /// request takes is unresponsive: the instance, its node or the link may be frozen. Unless no other instance
 /// is eligible, it gets no further requests until it responds again, or until its requests have ended and the
@@ -74,6 +80,11 @@
     bool hasHealthyCandidate(
         milliseconds now, const pick_request& request, const instance_directory& directory) const;
 
+    /// @return what the node of the chosen instance should know, if the instance may have just started or
+    /// recovered; nothing for others.
+    std::optional<fill_hint> makeFillHint(milliseconds now, const pick_request& request,
+        const instance_directory::entry& chosen, const instance_directory& directory) const;
+
     /// Records that an attempt was sent. Exactly one onEnd() must follow.
     void onSend(const std::string& id, milliseconds now);
 
@@ -127,6 +138,41 @@
         /// Set when it is unreachable, leaving, misdirected or unresponsive.
         milliseconds avoidUntil { -1e9 };
         milliseconds avoidDuration; ///< Doubled with each avoidance in a row.
+        milliseconds introducedSince { -1e9 }; ///< Start of the instance that `introducedAt` is for.
+        milliseconds filledAt { -1e9 }; ///< Time of the last report of an instance that was filling.
+        milliseconds introducedAt { -1e9 }; ///< When this node sends it requests like any other.
+
+        /// @return whether the instance has just started or recovered, so that its slowness will end soon.
+        bool isSlownessPassing(milliseconds now) const
+        {
+            return now - std::max(introducedSince, filledAt) < recentStartTime;
+        }
+
+        /// @return the share of the learned slowness that still counts. Without a request the node would not
+        /// learn that the slowness has ended.
+        double getSlownessShare(milliseconds now) const;
+
+        /// @return whether the node of this start of the instance has reported.
+        bool hasReport(const instance_directory::entry& candidate) const
+        {
+            return reportedAt >= candidate.firstSeenAt;
+        }
+    };
+
+    /// The parts of a candidate's cost, in milliseconds.
+    struct pick_cost {
+        double distance = 0;
+        double wait = 0;
+        double run = 0;
+        double failure = 0;
+        double introduction = 0; ///< Until the moment at which this node introduces itself to a new instance.
+        double maxJitter = 0;
+
+        /// @param jitter random share of the largest jitter.
+        double getTotal(double jitter) const
+        {
+            return distance + wait + run + failure + introduction + jitter * maxJitter;
+        }
     };
 
     struct scored_candidate {
@@ -134,13 +180,17 @@
         double cost;
     };
 
-    double getCost(milliseconds now, const pick_request& request, const instance_directory::entry& candidate,
-        const instance_stats& stats) const;
-    double getRunCost(
-        milliseconds now, const pick_request& request, const instance_directory::entry& candidate) const;
+    pick_cost getCost(milliseconds now, const pick_request& request,
+        const instance_directory::entry& candidate, const instance_stats& stats) const;
+    double getRunCost(milliseconds now, const pick_request& request,
+        const instance_directory::entry& candidate, const instance_stats& stats) const;
     double getDistanceCost(const pick_request& request, const std::string& zone) const;
     static bool isUnresponsive(const instance_stats& stats, milliseconds unansweredTime);
-    static double estimateQueueWait(milliseconds now, const instance_stats& stats);
+    static double estimateQueueWait(
+        milliseconds now, const instance_stats& stats, const instance_directory::entry& candidate);
+    void scheduleIntroductions(const std::string& service, const instance_directory& directory);
+    bool isAlternative(milliseconds now, const pick_request& request,
+        const instance_directory::entry& candidate, bool isBusyToo) const;
     static double estimateRateWait(milliseconds now, const instance_stats& stats);
     static double getFailureRate(const instance_stats& stats, milliseconds now);
     static double getRejectedShare(const instance_stats& stats, milliseconds now);
--- a/policy/run_time_model.cpp
+++ b/policy/run_time_model.cpp
@@ -15,7 +15,7 @@
     constexpr double initialLogVariance = 0.5;
 
     /// @return the weight of a sample: that of a plain average at first, then the given one.
-    double getWeight(double steadyWeight, int earlierSamples)
+    double getWeight(double steadyWeight, double earlierSamples)
     {
         return std::max(steadyWeight, 1.0 / (earlierSamples + 1));
     }
@@ -53,6 +53,29 @@
     ++instanceStats.samples;
 }
 
+void run_time_model::fade(const std::string& instance, double share)
+{
+    const auto found = m_instances.find(instance);
+    if (found == m_instances.end())
+        return;
+    found->second.logSlowness *= share;
+    found->second.samples *= share;
+}
+
+milliseconds run_time_model::getUsualTime(const std::string& route) const
+{
+    const auto found = m_routes.find(route);
+    return found == m_routes.end()
+        ? milliseconds()
+        : run_time_estimate { found->second.logMean, found->second.logVariance }.getMean();
+}
+
+double run_time_model::getUsualLogMean(const std::string& route) const
+{
+    const auto found = m_routes.find(route);
+    return found == m_routes.end() ? 0 : found->second.logMean;
+}
+
 std::optional<run_time_estimate> run_time_model::estimate(
     const std::string& instance, const std::string& route) const
 {
--- a/policy/run_time_model.h
+++ b/policy/run_time_model.h
@@ -34,6 +34,17 @@
     /// @return the expected duration; nothing if no request of the route has ended yet.
     std::optional<run_time_estimate> estimate(const std::string& instance, const std::string& route) const;
 
+    /// @return the mean logarithm of the duration of a route's requests at an instance of average speed; 0 if
+    /// none has ended.
+    double getUsualLogMean(const std::string& route) const;
+
+    /// @return the mean duration of a route's requests at an instance of average speed; 0 if none has ended.
+    milliseconds getUsualTime(const std::string& route) const;
+
+    /// Reduces what is known of the slowness of an instance, so that new samples count for more.
+    /// @param share what remains, 0 to 1.
+    void fade(const std::string& instance, double share);
+
     /// Removes what is known of an instance.
     void forget(const std::string& instance) { m_instances.erase(instance); }
 
@@ -46,7 +57,7 @@
 
     struct instance_stats {
         double logSlowness = 0; ///< Logarithm of the factor on the duration of any route.
-        int samples = 0;
+        double samples = 0;
     };
 
     std::map<std::string, route_stats> m_routes;
--- a/policy/slot_gate.cpp
+++ b/policy/slot_gate.cpp
@@ -38,8 +38,8 @@
         decide(error_kind::TargetLeaving);
         return;
     }
-    if (m_busy < m_slots && m_queue.empty() && tryCountSend(now)) {
-        ++m_busy;
+    if (m_busy < getUsableSlots(request) && m_queue.empty() && tryCountSend(now)) {
+        m_pace.onSend(now, ++m_busy);
         decide(std::nullopt);
         return;
     }
@@ -62,6 +62,12 @@
     refuseUnservable(now);
 }
 
+void slot_gate::recordOutcome(
+    milliseconds now, fill_outcome outcome, milliseconds heldFor, const std::optional<fill_hint>& hint)
+{
+    m_pace.onEnd(now, outcome, heldFor, hint ? hint->usualTime : milliseconds());
+}
+
 void slot_gate::recordArrival(bool isRejected)
 {
     m_rejectedShare += rejectionWeight * ((isRejected ? 1 : 0) - m_rejectedShare);
@@ -79,6 +85,7 @@
 
 void slot_gate::tick(milliseconds now)
 {
+    m_pace.tick(now, m_busy, milliseconds(m_serviceMs));
     startQueuedRequests(now);
     refuseUnservable(now);
 }
@@ -86,6 +93,7 @@
 void slot_gate::setSlots(int slots, milliseconds now)
 {
     m_slots = std::max(1, slots);
+    m_pace.setSlots(m_slots);
     startQueuedRequests(now);
     refuseUnservable(now);
 }
@@ -123,22 +131,44 @@
 
 slot_report slot_gate::getReport() const
 {
-    return { m_busy, static_cast<int>(m_queue.size()), m_slots, milliseconds(m_serviceMs), m_rejectedShare,
-        m_rateLimit };
+    return { m_busy, static_cast<int>(m_queue.size()), m_pace.getUsableSlots(), milliseconds(m_serviceMs),
+        m_rejectedShare, m_rateLimit, m_pace.isFilling() ? m_slots : 0 };
 }
 
 void slot_gate::startQueuedRequests(milliseconds now)
 {
-    while (m_busy < m_slots && !m_queue.empty() && tryCountSend(now)) {
-        const auto first = m_queue.begin();
+    while (m_busy < m_slots && !m_queue.empty()) {
+        // Requests that the window limits don't hold up others.
+        const auto first = std::find_if(m_queue.begin(), m_queue.end(),
+            [this](const auto& item) { return m_busy < getUsableSlots(item.second.request); });
+        if (first == m_queue.end() || !tryCountSend(now))
+            return;
         auto decide = std::move(first->second.decide);
         m_queueKeys.erase(first->second.request.id);
         m_queue.erase(first);
-        ++m_busy;
+        m_pace.onSend(now, ++m_busy);
         decide(std::nullopt);
     }
 }
 
+/// @return how many requests may run at once for the request to start. The window doesn't limit requests
+/// whose callers know no other instance; these would lose time and gain nothing.
+int slot_gate::getUsableSlots(const slot_request& request) const
+{
+    const bool isLimited = request.hint && request.hint->others != other_instances::None;
+    return isLimited ? m_pace.getUsableSlots() : m_slots;
+}
+
+/// @param ahead number of waiting requests that start earlier.
+/// @return whether the request would wait for a usable slot behind another one, and its caller knows another
+/// instance with room.
+bool slot_gate::shouldGoElsewhere(const slot_request& request, int ahead) const
+{
+    const int usable = m_pace.getUsableSlots();
+    return m_pace.isFilling() && request.hint && request.hint->others == other_instances::Free
+        && ahead + std::max(0, m_busy - usable) >= 1;
+}
+
 milliseconds slot_gate::getStartInterval() const { return milliseconds(m_serviceMs / m_slots); }
 
 void slot_gate::refuseUnservable(milliseconds now)
@@ -147,12 +177,15 @@
     const auto report = getReport();
     const double tokens = m_rateLimit ? m_sendTokens.getTokens(now) : 0;
     std::vector<decision_hook> refused;
-    int position = std::max(0, m_busy - m_slots);
+    int ahead = 0;
+    const int overfull = std::max(0, m_busy - m_slots);
     for (auto item = m_queue.begin(); item != m_queue.end();) {
+        const int position = overfull + ahead;
         const auto untilSend = report.getStartTime(std::max(0.0, position + 1 - tokens));
         const auto expectedStart = now + std::max(startInterval * (position + 1), untilSend);
-        if (expectedStart <= item->second.request.startBy) {
-            ++position;
+        const auto& request = item->second.request;
+        if (expectedStart <= request.startBy && !shouldGoElsewhere(request, ahead)) {
+            ++ahead;
             ++item;
             continue;
         }
--- a/policy/slot_gate.h
+++ b/policy/slot_gate.h
@@ -2,6 +2,8 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "core/fill_hint.h"
+#include "policy/fill_pace.h"
 #include "policy/token_bucket.h"
 
 #include <cstdint>
@@ -21,17 +23,22 @@
     int depth = 0;
     int rank = 0; ///< Within a priority and depth the lowest rank starts first.
     milliseconds startBy; ///< Time after which a start is too late to be useful.
+    std::optional<fill_hint> hint {}; ///< What the caller's node knows of the other instances, if it says so.
 };
 
 /// Load of a gate, as reported to the nodes that send requests to it.
 struct slot_report {
     int busy = 0; ///< Slots in use.
     int waiting = 0; ///< Queued requests.
-    int slots = 1;
+    int slots = 1; ///< Slots that are usable now.
     milliseconds serviceTime; ///< Moving average of the time that a request holds a slot.
     /// Moving average of the share of requests that the target rejected although slots were free.
     double rejectedShare = 0;
     std::optional<double> rateLimit; ///< Requests per second that the target takes at most, if it states it.
+    int fullSlots = 0; ///< All slots of the target, while fewer are usable; 0 otherwise.
+
+    /// @return whether the target has just started or recovered and fewer than all slots are usable.
+    bool isFilling() const { return fullSlots > 0; }
 
     /// @return the expected waiting time of a new request.
     milliseconds estimateWait() const;
@@ -48,6 +55,9 @@
 /// While the target states a rate limit, requests start no faster than that, free slots or not. All requests
 /// to the target pass its gate, so the limit holds for all nodes together.
 ///
+/// After a start or a recovery of the target, `fill_pace` limits the slots that are usable. A request that
+/// would wait behind another one is refused if its caller knows another instance with room.
+///
 /// Within a priority and depth the lowest rank starts first. A request and all calls made for it have the
 /// same rank at every gate. Under overload some requests therefore complete all of their calls, and the
 /// others fail at the first one. In order of arrival every request would wait at each of its calls, and most
@@ -81,6 +91,18 @@
     /// Sets the number of the target's slots, at least 1.
     void setSlots(int slots, milliseconds now);
 
+    /// Makes few slots usable at first, since the target has just started.
+    void beginFilling(milliseconds now) { m_pace.begin(now, fill_state::Starting); }
+
+    /// Records how a request that the target was sent ended. Must precede finish().
+    /// @param heldFor how long the target took.
+    /// @param hint what the caller's node said with the request.
+    void recordOutcome(
+        milliseconds now, fill_outcome outcome, milliseconds heldFor, const std::optional<fill_hint>& hint);
+
+    /// @return how far the target has been opened to requests.
+    fill_state getFillState() const { return m_pace.getState(); }
+
     /// Sets the number of requests per second that may reach the target, or lifts the limit.
     void setRateLimit(std::optional<double> perSecond, milliseconds now);
 
@@ -109,6 +131,8 @@
     using queue = std::map<queue_key, waiting_request>;
 
     bool tryCountSend(milliseconds now);
+    int getUsableSlots(const slot_request& request) const;
+    bool shouldGoElsewhere(const slot_request& request, int ahead) const;
     /// Starts queued requests while slots are free and the rate limit allows it.
     void startQueuedRequests(milliseconds now);
     /// Refuses queued requests that are expected to start after their `startBy` time.
@@ -121,6 +145,7 @@
     std::uint64_t m_sequence = 0;
     int m_slots = 1;
     int m_busy = 0;
+    fill_pace m_pace;
     double m_serviceMs = 0;
     double m_rejectedShare = 0;
     std::optional<double> m_rateLimit; ///< As stated by the target, in requests per second.
--- a/tests/policy/instance_picker_test.cpp
+++ b/tests/policy/instance_picker_test.cpp
@@ -261,3 +261,39 @@
     now = now + milliseconds(500);
     STRCMP_EQUAL("own", choose().c_str());
 }
+
+// Guards against the first requests of many nodes at the same moment: they all see a new instance at once.
+TEST(instance_picker, waitsForItsMomentBeforeItTriesAnInstanceThatHasJoined)
+{
+    list("own", "a");
+    picker.onReport("own", now, { 1, 0, 10, milliseconds(50) });
+    now = now + milliseconds(5000);
+    list("joined", "a");
+    for (const bool isIdempotent : { false, true }) {
+        picker.onSend("own", now);
+        STRCMP_EQUAL("own", choose({}, isIdempotent).c_str());
+    }
+    now = now + milliseconds(260);
+    STRCMP_EQUAL("joined", choose({}, true).c_str());
+    // Nor does it send a second request before the first report, unless there is no other instance.
+    picker.onSend("joined", now);
+    STRCMP_EQUAL("own", choose().c_str());
+    STRCMP_EQUAL("joined", choose({ "own" }).c_str());
+}
+
+TEST(instance_picker, tellsTheGateOfANewInstanceWhatItKnowsOfTheOthers)
+{
+    list("own", "a");
+    list("new", "a");
+    const pick_request request { "orders", "route", milliseconds(1000), spareTime, true, {} };
+    const auto getHint
+        = [&](const char* id) { return picker.makeFillHint(now, request, *directory.find(id), directory); };
+    CHECK(getHint("new")->others == other_instances::None);
+    picker.onReport("own", now, { 1, 0, 10, milliseconds(50) });
+    picker.onRunTime("own", "route", milliseconds(80));
+    CHECK(getHint("new")->others == other_instances::Free);
+    CHECK(getHint("new")->usualTime > milliseconds(50));
+    CHECK_FALSE(getHint("own").has_value());
+    picker.onReport("own", now, { 10, 80, 10, milliseconds(50) });
+    CHECK(getHint("new")->others == other_instances::Busy);
+}
