mesh, client: Add the command place

Operators could not see why a node sends requests to an instance. The node now answers /place on its metrics listener with the candidates, their costs and the instances left out, by the code that chooses, on a const path. The command prints it as a table or JSON.

--- a/client/command_line.cpp
+++ b/client/command_line.cpp
@@ -6,6 +6,7 @@
 #include "client/explain_request.h"
 #include "client/node_commands.h"
 #include "client/node_list.h"
+#include "client/place_command.h"
 #include "core/version.h"
 
 #include <CLI/CLI.hpp>
@@ -33,6 +34,7 @@
         bool shouldFollow = false;
         std::string firstPositional;
         std::string secondPositional;
+        place_request place; ///< Arguments of `place`.
         std::vector<std::string> remainingPositionals; ///< Positional arguments after the first.
         bool needsNodes = false; ///< Whether the selected command sends requests to nodes.
         command_handler run; ///< Runs the selected command and returns its exit code.
@@ -123,6 +125,25 @@
         ticket->add_option("TICKET", arguments.firstPositional, "The order's ticket")->required();
     }
 
+    void addPlaceCommand(CLI::App& app, parsed_arguments& arguments)
+    {
+        auto* place = addCommand(app, arguments, "place",
+            "Show where a mesh node would send a request now; --node takes the address of its metrics", true,
+            [&arguments](const auto& environment, const auto& options) {
+                return runPlace(environment, options, arguments.place);
+            });
+        auto& request = arguments.place;
+        auto* service = place->add_option("--service", request.service, "Service, instead of host and path");
+        auto* host = place->add_option("--host", request.host, "Host of the request");
+        auto* path = place->add_option("--path", request.path, "Path of the request");
+        host->needs(path)->excludes(service);
+        path->needs(host);
+        place->add_option("--method", request.method, "Method of the request");
+        place->add_option("--size", request.size, "Bytes of the request's body")
+            ->check(CLI::NonNegativeNumber);
+        place->add_option("--organisation", request.organisation, "Name of the organisation that sends it");
+    }
+
     void addLogCommands(CLI::App& app, parsed_arguments& arguments)
     {
         auto* explain = addCommand(app, arguments, "explain",
@@ -190,6 +211,7 @@
     addGlobalOptions(app, arguments);
     addDocumentCommands(app, arguments);
     addNodeCommands(app, arguments);
+    addPlaceCommand(app, arguments);
     addLogCommands(app, arguments);
     addCompletionCommand(app, arguments);
     try {
--- a/mesh/local_target.h
+++ b/mesh/local_target.h
@@ -98,6 +98,9 @@
     /// Lets few requests run at first. Used for an instance that has just started.
     void beginFilling() { m_gate.beginFilling(m_time.now()); }
 
+    /// @return the share of the requests of a priority that may enter here, 0 to 1.
+    double getEntryShare(int priority) const { return m_entryAdmission.getShare(priority); }
+
     /// @return how far the instance has been opened to requests.
     fill_state getFillState() const { return m_gate.getFillState(); }
 
--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -7,6 +7,7 @@
 #include "mesh/inbound_call.h"
 #include "mesh/mesh_context.h"
 #include "mesh/outbound_call.h"
+#include "mesh/placement_report.h"
 #include "mesh/replica_transport.h"
 #include "transport/http_server.h"
 
@@ -422,6 +423,11 @@
         call->respond(head, formatMetrics());
         return;
     }
+    if (path == placementPath) {
+        const auto report = reportPlacement(callContext, call->getRequest().target, head);
+        call->respond(head, report);
+        return;
+    }
     head.status = path != "/ready" ? notFoundStatus : isReady() ? readyStatus : notReadyStatus;
     call->respond(head, {});
 }
--- a/policy/instance_picker.cpp
+++ b/policy/instance_picker.cpp
@@ -213,7 +213,7 @@
     return milliseconds(least.value_or(0));
 }
 
-instance_picker::pick_cost instance_picker::getCost(milliseconds now, const pick_request& request,
+pick_cost instance_picker::getCost(milliseconds now, const pick_request& request,
     const instance_directory::entry& candidate, const instance_stats& stats) const
 {
     const double serviceMs = stats.report.serviceTime.getCount() > 0 ? stats.report.serviceTime.getCount()
@@ -370,17 +370,25 @@
 
 bool instance_picker::isEligible(milliseconds now, const pick_request& request,
     const instance_directory::entry& candidate, bool mayUseAvoided) const
+{
+    return !findExclusion(now, request, candidate, mayUseAvoided);
+}
+
+/// @return why the request must not go to the instance, or null if it may.
+const char* instance_picker::findExclusion(milliseconds now, const pick_request& request,
+    const instance_directory::entry& candidate, bool mayUseAvoided) const
 {
     const auto& excluded = request.excluded;
     if (std::find(excluded.begin(), excluded.end(), candidate.record.id) != excluded.end())
-        return false;
+        return "already tried";
     if (candidate.isLeaving())
-        return false;
+        return "leaving";
     const auto found = m_stats.find(candidate.record.id);
     if (mayUseAvoided || found == m_stats.end())
-        return true;
-    return now >= found->second.avoidUntil
-        && !isUnresponsive(found->second, now - found->second.unansweredSince);
+        return nullptr;
+    if (now < found->second.avoidUntil)
+        return "avoided";
+    return isUnresponsive(found->second, now - found->second.unansweredSince) ? "unresponsive" : nullptr;
 }
 
 /// Finds an instance of the node's own availability zone that has been idle for a while. New and previously
--- a/policy/instance_picker.h
+++ b/policy/instance_picker.h
@@ -3,6 +3,7 @@
 #include "core/clock.h"
 #include "core/fill_hint.h"
 #include "policy/instance_directory.h"
+#include "policy/instance_placement.h"
 #include "policy/run_time_model.h"
 #include "policy/slot_gate.h"
 
@@ -85,6 +86,11 @@
     std::optional<fill_hint> makeFillHint(milliseconds now, const pick_request& request,
         const instance_directory::entry& chosen, const instance_directory& directory) const;
 
+    /// Describes where a request would go now, by the same decisions as choose(), without a choice.
+    /// @return the instances of the service with what decides; they refer to the directory.
+    request_placement place(
+        milliseconds now, const pick_request& request, const instance_directory& directory) const;
+
     /// Records that an attempt was sent. Exactly one onEnd() must follow.
     void onSend(const std::string& id, milliseconds now);
 
@@ -159,22 +165,6 @@
         }
     };
 
-    /// The parts of a candidate's cost, in milliseconds.
-    struct pick_cost {
-        double distance = 0;
-        double wait = 0;
-        double run = 0;
-        double failure = 0;
-        double introduction = 0; ///< Until the moment at which this node introduces itself to a new instance.
-        double maxJitter = 0;
-
-        /// @param jitter random share of the largest jitter.
-        double getTotal(double jitter) const
-        {
-            return distance + wait + run + failure + introduction + jitter * maxJitter;
-        }
-    };
-
     struct scored_candidate {
         const instance_directory::entry* candidate;
         double cost;
@@ -194,6 +184,10 @@
     static double estimateRateWait(milliseconds now, const instance_stats& stats);
     static double getFailureRate(const instance_stats& stats, milliseconds now);
     static double getRejectedShare(const instance_stats& stats, milliseconds now);
+    instance_placement describe(
+        milliseconds now, const pick_request& request, const instance_directory::entry& candidate) const;
+    const char* findExclusion(milliseconds now, const pick_request& request,
+        const instance_directory::entry& candidate, bool mayUseAvoided) const;
     bool isEligible(milliseconds now, const pick_request& request, const instance_directory::entry& candidate,
         bool mayUseAvoided) const;
     const instance_directory::entry* findIdleInstance(
--- a/tests/client/commands_test.cpp
+++ b/tests/client/commands_test.cpp
@@ -228,3 +228,27 @@
             STRCMP_CONTAINS(word, out.str().c_str());
     }
 }
+
+TEST(client, placeShowsWhereARequestGoes)
+{
+    setResponse("1.2.3.4:5 /place?host=shop&path=%2Fa%26b",
+        R"({"node":"n-1","zone":"a","route":"orders","admission":{"accepted":true,"status":200,"reason":"",)"
+        R"("priority":2},"quota":{"rate_per_s":5.0,"burst":2.0},"services":[{"service":"orders","weight":1.0,)"
+        R"("chosen":"i-1","why":"lowest cost","candidates":[{"instance":"i-1","zone":"a","state":"filling",)"
+        R"("cost_ms":12.34,"distance_ms":0,"wait_ms":0,"run_ms":0,"failure_ms":0,"introduction_ms":0,)"
+        R"("expected_run_ms":null,"load":null}],"left_out":[{"instance":"i-2","zone":"b","state":"full",)"
+        R"("cost_ms":1,"distance_ms":0,"wait_ms":0,"run_ms":0,"failure_ms":0,"introduction_ms":0,)"
+        R"("expected_run_ms":null,"load":{"busy":1,"waiting":0,"usable_slots":4,"slots":4,)"
+        R"("limit_per_s":null,"age_ms":3.0},"reason":"avoided"}]}]})");
+    CHECK_EQUAL(ExitSuccess, run({ "place", "--node", "1.2.3.4:5", "--host", "shop", "--path", "/a&b" }));
+    STRCMP_CONTAINS("route orders, priority 2, accepted, quota 5.0/s, burst 2.0", out.str().c_str());
+    STRCMP_CONTAINS("i-1, lowest cost", out.str().c_str());
+    STRCMP_CONTAINS("12.3", out.str().c_str());
+    STRCMP_CONTAINS("avoided", out.str().c_str());
+    setResponse("1.2.3.4:5 /place?service=a", R"({"error":"no"})", 400);
+    CHECK_EQUAL(ExitBadResponse, run({ "place", "--node", "1.2.3.4:5", "--service", "a" }));
+    STRCMP_CONTAINS("HTTP status 400: no", err.str().c_str());
+    setResponse("1.2.3.4:5 /place?service=b", "[]");
+    CHECK_EQUAL(ExitBadResponse, run({ "place", "--node", "1.2.3.4:5", "--service", "b" }));
+    CHECK_EQUAL(ExitUsage, run({ "place", "--node", "1.2.3.4:5", "--host", "shop" }));
+}
--- a/tests/mesh/test_mesh.cpp
+++ b/tests/mesh/test_mesh.cpp
@@ -133,11 +133,21 @@
 
 std::size_t test_mesh::send(
     const vm& entry, const std::string& id, const std::string& path, const std::vector<header_field>& fields)
+{
+    return sendTo({ entry.host, callersPort }, id, path, fields);
+}
+
+outgoing_result test_mesh::fetchAdmin(const vm& entry, const std::string& path)
+{
+    return await(sendTo({ entry.host, readyPort }, "admin", path, {}));
+}
+
+std::size_t test_mesh::sendTo(const address& listener, const std::string& id, const std::string& path,
+    const std::vector<header_field>& fields)
 {
     m_clients.push_back(std::make_unique<client>());
     auto& added = *m_clients.back();
-    added.pool = std::make_unique<pooled_http_client>(
-        m_io, getClock(), address { entry.host, callersPort }, pool_limits {});
+    added.pool = std::make_unique<pooled_http_client>(m_io, getClock(), listener, pool_limits {});
     outgoing_request outgoing;
     outgoing.request.method = "GET";
     outgoing.request.target = path;
--- a/tests/mesh/test_mesh.h
+++ b/tests/mesh/test_mesh.h
@@ -67,6 +67,10 @@
     std::size_t send(const vm& entry, const std::string& id, const std::string& path = "/x",
         const std::vector<fuchsiagauge::header_field>& fields = {});
 
+    /// Asks a node on the listener for its readiness, which serves the paths of the metrics listener too.
+    /// @return the response.
+    fuchsiagauge::outgoing_result fetchAdmin(const vm& entry, const std::string& path);
+
     /// Cancels a client's request by closing its connection.
     void disconnectClient(std::size_t clientIndex);
 
@@ -95,6 +99,9 @@
         vm& owner);
 
 private:
+    std::size_t sendTo(const fuchsiagauge::address& listener, const std::string& id, const std::string& path,
+        const std::vector<fuchsiagauge::header_field>& fields);
+
     struct client {
         std::unique_ptr<fuchsiagauge::pooled_http_client> pool;
         fuchsiagauge::pooled_http_client::handle call;
--- a/tests/policy/instance_picker_test.cpp
+++ b/tests/policy/instance_picker_test.cpp
@@ -297,3 +297,38 @@
     picker.onReport("own", now, { 10, 80, 10, milliseconds(50) });
     CHECK(getHint("new")->others == other_instances::Busy);
 }
+
+// Guards against a report that disagrees with the choice, or that changes what the node does next.
+TEST(instance_picker, placeTellsTheNextChoiceWithoutChangingIt)
+{
+    int randomCount = 0;
+    instance_picker counted { { "a", { { "a", "west" }, { "b", "west" } } }, [&] {
+                                 ++randomCount;
+                                 return 0.5;
+                             } };
+    list("own", "a");
+    list("near", "b");
+    list("leaving", "a", true);
+    const pick_request request { "orders", "route", milliseconds(1000), spareTime, true, {} };
+    STRCMP_EQUAL("idle instance is tried", counted.place(now, request, directory).reason.c_str());
+    for (const auto* id : { "own", "near" }) {
+        counted.onSend(id, now);
+        counted.onReport(id, now, { 10, 40, 10, milliseconds(100) });
+        counted.onEnd(id, now, health_signal::Success);
+    }
+    for (const auto signal : { health_signal::Success, health_signal::Unreachable }) {
+        counted.onSend("own", now);
+        counted.onEnd("own", now, signal);
+        const int before = randomCount;
+        const auto placed = counted.place(now, request, directory);
+        LONGS_EQUAL(before, randomCount);
+        POINTERS_EQUAL(placed.chosen, counted.choose(now, request, directory));
+        STRCMP_EQUAL(signal == health_signal::Success ? "own" : "near", placed.chosen->record.id.c_str());
+        LONGS_EQUAL(3, placed.instances.size());
+        for (const auto& item : placed.instances) {
+            const auto& id = item.instance->record.id;
+            const bool isOwnAvoided = id == "own" && signal == health_signal::Unreachable;
+            STRCMP_EQUAL(id == "leaving" ? "leaving" : isOwnAvoided ? "avoided" : "", item.reason.c_str());
+        }
+    }
+}
