--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -300,6 +300,7 @@
     call.isIdempotent = m_route->isIdempotent;
     call.instance = m_instance;
     call.rateLimit = m_context.picker.getRateLimit(m_instance);
+    call.fillHint = m_context.picker.makeFillHint(now, makePickRequest(now), chosen, m_context.directory);
     call.callerService = m_context.config.service;
     call.requestId = m_clientInfo.requestId;
     if (m_organisation) {
@@ -352,6 +353,8 @@
     outgoing.request.fields.add(peer_header::call, formatPeerCall(call));
     if (call.rateLimit)
         outgoing.request.fields.add(peer_header::rateLimit, formatRateLimit(*call.rateLimit));
+    if (call.fillHint)
+        outgoing.request.fields.add(fillHintHeader, formatFillHint(*call.fillHint));
     if (!call.organisation.empty())
         outgoing.request.fields.add(peer_header::organisation, formatPeerOrganisation(call));
     outgoing.expiresAt = m_expiresAt;
@@ -383,6 +386,7 @@
     result.load = { reply->busy, reply->waiting, reply->slots, reply->serviceTime,
         parseRejectedShare(outgoing.head.fields.find(peer_header::rejectedShare)),
         parseRateLimit(outgoing.head.fields.find(peer_header::rateLimit)),
+        parseFullSlots(outgoing.head.fields.find(fullSlotsHeader)),
         parsePace(outgoing.head.fields.find(peer_header::pace)) };
     result.hasLoad = true;
     result.isInstanceLeaving = outgoing.head.fields.find(peer_header::leaving) != nullptr;
@@ -391,6 +395,7 @@
     outgoing.head.fields.erase(peer_header::rejectedShare);
     outgoing.head.fields.erase(peer_header::rateLimit);
     outgoing.head.fields.erase(peer_header::pace);
+    outgoing.head.fields.erase(fullSlotsHeader);
     outgoing.head.fields.erase(peer_header::leaving);
     result.head = std::move(outgoing.head);
     if (result.outcome == attempt_outcome::Answered)
--- a/policy/slot_gate.cpp
+++ b/policy/slot_gate.cpp
@@ -54,7 +54,7 @@
         decide(error_kind::TargetLeaving);
         return;
     }
-    if (m_busy < m_slots && m_queue.empty() && tryCountSend(now)) {
+    if (m_busy < getUsableSlots(request) && m_queue.empty() && tryCountSend(now)) {
         occupySlot(now, request);
         decide(std::nullopt);
         return;
@@ -67,7 +67,7 @@
 /// Assigns a slot to a request and charges its organisation with the work that it is expected to take.
 void slot_gate::occupySlot(milliseconds now, const slot_request& request)
 {
-    ++m_busy;
+    m_pace.onSend(now, ++m_busy);
     if (request.organisation.empty() && m_share.isEmpty())
         return;
     const milliseconds expected(m_serviceMs);
@@ -119,6 +119,26 @@
     return first->second.begin()->second;
 }
 
+/// @return the next request that may start; nothing if the window holds all of them back. Requests that the
+/// window limits don't hold up others.
+std::optional<slot_request> slot_gate::findStartable() const
+{
+    if (!m_pace.isFilling())
+        return getFirst().request;
+    std::optional<slot_request> found;
+    for (const auto& [key, waiting] : m_queue) {
+        forEachInOrder(waiting, [&](const slot_request& request) {
+            const bool isStartable = !found && m_busy < getUsableSlots(request);
+            if (isStartable)
+                found = request;
+            return isStartable;
+        });
+        if (found)
+            break;
+    }
+    return found;
+}
+
 void slot_gate::finish(milliseconds now, std::optional<milliseconds> heldFor, std::uint64_t id)
 {
     m_busy = std::max(0, m_busy - 1);
@@ -137,6 +157,12 @@
     refuseUnservable(now);
 }
 
+void slot_gate::recordOutcome(
+    milliseconds now, fill_outcome outcome, milliseconds heldFor, const std::optional<fill_hint>& hint)
+{
+    m_pace.onEnd(now, outcome, heldFor, hint ? hint->usualTime : milliseconds());
+}
+
 void slot_gate::recordArrival(bool isRejected)
 {
     m_rejectedShare += rejectionWeight * ((isRejected ? 1 : 0) - m_rejectedShare);
@@ -146,6 +172,7 @@
 
 void slot_gate::tick(milliseconds now)
 {
+    m_pace.tick(now, m_busy, milliseconds(m_serviceMs));
     startQueuedRequests(now);
     refuseUnservable(now);
 }
@@ -153,6 +180,7 @@
 void slot_gate::setSlots(int slots, milliseconds now)
 {
     m_slots = std::max(1, slots);
+    m_pace.setSlots(m_slots);
     startQueuedRequests(now);
     refuseUnservable(now);
 }
@@ -194,20 +222,40 @@
 
 slot_report slot_gate::getReport() const
 {
-    return { m_busy, static_cast<int>(m_positions.size()), m_slots, milliseconds(m_serviceMs),
-        m_rejectedShare, m_rateLimit, {} };
+    return { m_busy, static_cast<int>(m_positions.size()), m_pace.getUsableSlots(), milliseconds(m_serviceMs),
+        m_rejectedShare, m_rateLimit, m_pace.isFilling() ? m_slots : 0, {} };
 }
 
 void slot_gate::startQueuedRequests(milliseconds now)
 {
-    while (m_busy < m_slots && !m_queue.empty() && tryCountSend(now)) {
-        const auto request = getFirst().request;
-        const auto decide = removeWaiting(request.id);
-        occupySlot(now, request);
+    while (m_busy < m_slots && !m_queue.empty()) {
+        const auto request = findStartable();
+        if (!request || !tryCountSend(now))
+            return;
+        const auto decide = removeWaiting(request->id);
+        occupySlot(now, *request);
         decide(std::nullopt);
     }
 }
 
+/// @return how many requests may run at once for the request to start. The window doesn't limit requests
+/// whose callers know no other instance; these would lose time and gain nothing.
+int slot_gate::getUsableSlots(const slot_request& request) const
+{
+    const bool isLimited = request.hint && request.hint->others != other_instances::None;
+    return isLimited ? m_pace.getUsableSlots() : m_slots;
+}
+
+/// @param ahead number of waiting requests that start earlier.
+/// @return whether the request would wait for a usable slot behind another one, and its caller knows another
+/// instance with room.
+bool slot_gate::shouldGoElsewhere(const slot_request& request, int ahead) const
+{
+    const int usable = m_pace.getUsableSlots();
+    return m_pace.isFilling() && request.hint && request.hint->others == other_instances::Free
+        && ahead + std::max(0, m_busy - usable) >= 1;
+}
+
 milliseconds slot_gate::getStartInterval() const { return milliseconds(m_serviceMs / m_slots); }
 
 void slot_gate::refuseUnservable(milliseconds now)
@@ -215,17 +263,20 @@
     const auto startInterval = getStartInterval();
     const auto report = getReport();
     const double tokens = m_rateLimit ? m_sendTokens.getTokens(now) : 0;
-    int position = std::max(0, m_busy - m_slots);
+    int ahead = 0;
+    const int overfull = std::max(0, m_busy - m_slots);
     const auto isServable = [&](const slot_request& request) {
+        const int position = overfull + ahead;
         const auto untilSend = report.getStartTime(std::max(0.0, position + 1 - tokens));
-        return now + std::max(startInterval * (position + 1), untilSend) <= request.startBy;
+        return now + std::max(startInterval * (position + 1), untilSend) <= request.startBy
+            && !shouldGoElsewhere(request, ahead);
     };
     std::vector<std::uint64_t> refusedIds;
     for (const auto& [key, waiting] : m_queue) {
         forEachInOrder(waiting, [&](const slot_request& request) {
             const bool isInTime = isServable(request);
             if (isInTime)
-                ++position;
+                ++ahead;
             else
                 refusedIds.push_back(request.id);
             return isInTime;
--- a/policy/slot_gate.h
+++ b/policy/slot_gate.h
@@ -2,7 +2,9 @@
 
 #include "core/clock.h"
 #include "core/error.h"
+#include "core/fill_hint.h"
 #include "policy/fair_share.h"
+#include "policy/fill_pace.h"
 #include "policy/token_bucket.h"
 
 #include <cstdint>
@@ -26,6 +28,7 @@
     milliseconds startBy; ///< Time after which a start is too late to be useful.
     /// Organisation that the request counts for; all requests without one count as one organisation.
     std::string organisation {};
+    std::optional<fill_hint> hint {}; ///< What the caller's node knows of the other instances, if it says so.
 };
 
 /// What a target has stated of its pace. It changes many times a second if the VM is shared with others.
@@ -47,13 +50,17 @@
 struct slot_report {
     int busy = 0; ///< Slots in use.
     int waiting = 0; ///< Queued requests.
-    int slots = 1;
+    int slots = 1; ///< Slots that are usable now.
     milliseconds serviceTime; ///< Moving average of the time that a request holds a slot.
     /// Moving average of the share of requests that the target rejected although slots were free.
     double rejectedShare = 0;
     std::optional<double> rateLimit; ///< Requests per second that the target takes at most, if it states it.
+    int fullSlots = 0; ///< All slots of the target, while fewer are usable; 0 otherwise.
     pace_report pace;
 
+    /// @return whether the target has just started or recovered and fewer than all slots are usable.
+    bool isFilling() const { return fullSlots > 0; }
+
     /// @return the expected waiting time of a new request.
     milliseconds estimateWait() const;
 
@@ -69,6 +76,9 @@
 /// While the target states a rate limit, requests start no faster than that, free slots or not. All requests
 /// to the target pass its gate, so the limit holds for all nodes together.
 ///
+/// After a start or a recovery of the target, `fill_pace` limits the slots that are usable. A request that
+/// would wait behind another one is refused if its caller knows another instance with room.
+///
 /// Within a priority and depth the organisation that received least of the target's work in the last seconds
 /// goes first. An organisation that sent nothing for a while gets only a short lead, so that its surge
 /// doesn't keep the others waiting.
@@ -107,6 +117,18 @@
     /// Sets the number of the target's slots, at least 1.
     void setSlots(int slots, milliseconds now);
 
+    /// Makes few slots usable at first, since the target has just started.
+    void beginFilling(milliseconds now) { m_pace.begin(now, fill_state::Starting); }
+
+    /// Records how a request that the target was sent ended. Must precede finish().
+    /// @param heldFor how long the target took.
+    /// @param hint what the caller's node said with the request.
+    void recordOutcome(
+        milliseconds now, fill_outcome outcome, milliseconds heldFor, const std::optional<fill_hint>& hint);
+
+    /// @return how far the target has been opened to requests.
+    fill_state getFillState() const { return m_pace.getState(); }
+
     /// Sets the number of requests per second that may reach the target, or lifts the limit.
     void setRateLimit(std::optional<double> perSecond, milliseconds now);
 
@@ -154,6 +176,9 @@
     void enqueue(milliseconds now, const slot_request& request, decision_hook decide);
     decision_hook removeWaiting(std::uint64_t id);
     const waiting_request& getFirst() const;
+    std::optional<slot_request> findStartable() const;
+    int getUsableSlots(const slot_request& request) const;
+    bool shouldGoElsewhere(const slot_request& request, int ahead) const;
     /// Starts queued requests while slots are free and the rate limit allows it.
     void startQueuedRequests(milliseconds now);
     /// Refuses queued requests that are expected to start after their `startBy` time.
@@ -169,6 +194,7 @@
     std::uint64_t m_sequence = 0;
     int m_slots = 1;
     int m_busy = 0;
+    fill_pace m_pace;
     double m_serviceMs = 0;
     double m_rejectedShare = 0;
     std::optional<double> m_rateLimit; ///< As stated by the target, in requests per second.
--- a/tests/policy/instance_picker_test.cpp
+++ b/tests/policy/instance_picker_test.cpp
@@ -288,3 +288,74 @@
     now = now + milliseconds(500);
     STRCMP_EQUAL("own", choose().c_str());
 }
+
+// Guards against the first requests of many nodes at the same moment: they all see a new instance at once.
+TEST(instance_picker, waitsForItsMomentBeforeItTriesAnInstanceThatHasJoined)
+{
+    list("own", "a");
+    picker.onReport("own", now, { 1, 0, 10, milliseconds(50) });
+    now = now + milliseconds(5000);
+    list("joined", "a");
+    for (const bool isIdempotent : { false, true }) {
+        picker.onSend("own", now);
+        STRCMP_EQUAL("own", choose({}, isIdempotent).c_str());
+    }
+    now = now + milliseconds(260);
+    STRCMP_EQUAL("joined", choose({}, true).c_str());
+    // Nor does it send a second request before the first report, unless there is no other instance.
+    picker.onSend("joined", now);
+    STRCMP_EQUAL("own", choose().c_str());
+    STRCMP_EQUAL("joined", choose({ "own" }).c_str());
+}
+
+TEST(instance_picker, tellsTheGateOfANewInstanceWhatItKnowsOfTheOthers)
+{
+    list("own", "a");
+    list("new", "a");
+    const pick_request request { "orders", "route", milliseconds(1000), spareTime, true, {} };
+    const auto getHint
+        = [&](const char* id) { return picker.makeFillHint(now, request, *directory.find(id), directory); };
+    CHECK(getHint("new")->others == other_instances::None);
+    picker.onReport("own", now, { 1, 0, 10, milliseconds(50) });
+    picker.onRunTime("own", "route", milliseconds(80));
+    CHECK(getHint("new")->others == other_instances::Free);
+    CHECK(getHint("new")->usualTime > milliseconds(50));
+    CHECK_FALSE(getHint("own").has_value());
+    picker.onReport("own", now, { 10, 80, 10, milliseconds(50) });
+    CHECK(getHint("new")->others == other_instances::Busy);
+}
+
+// Guards against a report that disagrees with the choice, or that changes what the node does next.
+TEST(instance_picker, placeTellsTheNextChoiceWithoutChangingIt)
+{
+    int randomCount = 0;
+    instance_picker counted { { "a", { { "a", "west" }, { "b", "west" } } }, [&] {
+                                 ++randomCount;
+                                 return 0.5;
+                             } };
+    list("own", "a");
+    list("near", "b");
+    list("leaving", "a", true);
+    const pick_request request { "orders", "route", milliseconds(1000), spareTime, true, {} };
+    STRCMP_EQUAL("idle instance is tried", counted.place(now, request, directory).reason.c_str());
+    for (const auto* id : { "own", "near" }) {
+        counted.onSend(id, now);
+        counted.onReport(id, now, { 10, 40, 10, milliseconds(100) });
+        counted.onEnd(id, now, health_signal::Success);
+    }
+    for (const auto signal : { health_signal::Success, health_signal::Unreachable }) {
+        counted.onSend("own", now);
+        counted.onEnd("own", now, signal);
+        const int before = randomCount;
+        const auto placed = counted.place(now, request, directory);
+        LONGS_EQUAL(before, randomCount);
+        POINTERS_EQUAL(placed.chosen, counted.choose(now, request, directory));
+        STRCMP_EQUAL(signal == health_signal::Success ? "own" : "near", placed.chosen->record.id.c_str());
+        LONGS_EQUAL(3, placed.instances.size());
+        for (const auto& item : placed.instances) {
+            const auto& id = item.instance->record.id;
+            const bool isOwnAvoided = id == "own" && signal == health_signal::Unreachable;
+            STRCMP_EQUAL(id == "leaving" ? "leaving" : isOwnAvoided ? "avoided" : "", item.reason.c_str());
+        }
+    }
+}
