--- a/tests/policy/fill_pace_test.cpp
+++ b/tests/policy/fill_pace_test.cpp
@@ -100,6 +100,7 @@
 {
     slot_gate gate;
     milliseconds now { 1000 };
+    std::uint64_t lastId = 0;
     int started = 0;
     int refused = 0;
 
@@ -107,7 +108,7 @@
     void submit(int count, std::optional<fill_hint> hint)
     {
         for (int index = 0; index < count; ++index) {
-            const auto id = static_cast<std::uint64_t>(started + refused + index + 1000 * (refused + 1));
+            const auto id = ++lastId;
             gate.submit(now, { id, 0, 0, 0, now + milliseconds(500), hint },
                 [this](std::optional<error_kind> refusal) { ++(refusal ? refused : started); });
         }
