--- a/tests/policy/key_freshness_test.cpp
+++ b/tests/policy/key_freshness_test.cpp
@@ -180,7 +180,7 @@
 milliseconds drawTime(std::mt19937& random, unsigned limitMs)
 {
     constexpr double offsetMs = 0.37; // Keeps changes and reads from falling on the same instant.
-    return milliseconds(offsetMs + random() % limitMs);
+    return milliseconds(offsetMs + static_cast<double>(random() % limitMs));
 }
 
 void healAll(replica_fleet& fleet)
