--- a/policy/quota_agent.cpp
+++ b/policy/quota_agent.cpp
@@ -301,6 +301,10 @@
     if (!call)
         return;
     m_calledAt = now;
+    if (!m_coordinator.hasHeardOf(now, m_self) && now - m_reportedAt >= callInterval) {
+        adoptStamp(m_self, *call);
+        sendRegularReport(now);
+    }
     for (auto& entry : m_candidates) {
         if (entry.host == m_self || m_coordinator.hasHeardOf(now, entry.host)
             || now - entry.calledAt < callRepetition)
--- a/policy/quota_coordinator.cpp
+++ b/policy/quota_coordinator.cpp
@@ -94,6 +94,9 @@
                 continue;
             auto& owner = m_pools[need.organisation];
             settle(now, owner);
+            // Requests that were given back have not run, so their credits can't run either.
+            if (report.isUrgent)
+                releaseCredits(owner, need.credit / creditUnit);
             owner.tokens = std::min(owner.tokens + need.credit / creditUnit,
                 std::max(owner.tokens, owner.getCapacity() - owner.creditSum));
             if (need.demand == 0 && need.waiting == 0)
@@ -217,8 +220,9 @@
         result.requests = static_cast<std::uint32_t>(grantRequests(now, owner, unserved));
         if (result.requests == 0) {
             const double free = toFraction(owner.getFree());
-            const double missing = std::min(1.0, owner.getCapacity()) - owner.tokens + owner.creditSum;
+            const double missing = std::min(1.0, owner.getCapacity()) - owner.tokens;
             const double waitMs = free > 0 ? missing / (free * owner.limit.ratePerSecond) * msPerSecond
+                    + (owner.creditSum > 0 ? creditTime.getCount() : 0)
                                            : m_timing.loan.getCount();
             result.waitMs = static_cast<std::uint32_t>(std::clamp(waitMs, 1.0, maxLoanTime.getCount()));
         }
@@ -270,6 +274,16 @@
     return count;
 }
 
+void quota_coordinator::releaseCredits(pool& owner, double count)
+{
+    for (auto& [amount, until] : owner.credits) {
+        const double released = std::min(amount, count);
+        amount -= released;
+        count -= released;
+        owner.creditSum -= released;
+    }
+}
+
 /// Adds the tokens that have accrued since the last call, as in quota_share.
 void quota_coordinator::settle(milliseconds now, pool& owner) const
 {
--- a/policy/quota_coordinator.h
+++ b/policy/quota_coordinator.h
@@ -101,6 +101,7 @@
     quota_grant grant(milliseconds now, const quota_need& need, row& entry);
     std::uint32_t findTarget(milliseconds now, const pool& owner, const row& entry) const;
     double grantRequests(milliseconds now, pool& owner, double wanted);
+    static void releaseCredits(pool& owner, double count);
     void settle(milliseconds now, pool& owner) const;
     bool isActive(milliseconds now, const pool& owner) const;
     quota_stamp makeStamp(milliseconds now) const;
--- a/tests/policy/quota_test.cpp
+++ b/tests/policy/quota_test.cpp
@@ -39,6 +39,7 @@
 TEST_GROUP(quota)
 {
     quota_fleet fleet { fleetSize };
+    std::size_t moveCount = 0;
 
     void startWithLimit(double perSecond, double burst)
     {
@@ -55,6 +56,18 @@
             fleet.addLoad(node, "a", 1400.0 / 3);
     }
 
+    /// Sends seven times the limit in at two nodes that change, so that shares move all the time.
+    void runWithMovingLoad(double forMs)
+    {
+        constexpr double stayMs = 700;
+        for (const double end = fleet.getNow() + forMs; fleet.getNow() < end; ++moveCount) {
+            fleet.clearLoads();
+            fleet.addLoad(moveCount * 7 % fleetSize, "a", 1400);
+            fleet.addLoad((moveCount * 7 + 31) % fleetSize, "a", 1400);
+            fleet.run(stayMs);
+        }
+    }
+
     /// The design's own bound for each window; a coordinator may overdraw a small bucket by one request.
     void checkSum(double perSecond = 400, double burst = 400)
     {
@@ -150,11 +163,11 @@
     fleet.run(3000);
     const auto coordinator = fleet.findCoordinator();
     fleet.isCut = [=](std::size_t from, std::size_t to) { return from == coordinator && to % 2 == 0; };
-    fleet.run(10000);
+    runWithMovingLoad(10000);
     fleet.isCut = [=](std::size_t from, std::size_t to) { return to == coordinator && from % 2 == 0; };
-    fleet.run(10000);
+    runWithMovingLoad(10000);
     fleet.isCut = nullptr;
-    fleet.run(10000);
+    runWithMovingLoad(10000);
     checkSum();
 }
 
@@ -180,7 +193,7 @@
     startOverload();
     std::mt19937 random(3);
     fleet.extraDelayMs = [&] { return random() % 3 == 0 ? random() % 3000 : 0; };
-    fleet.run(30000);
+    runWithMovingLoad(40000);
     checkSum();
 }
 
@@ -188,7 +201,7 @@
 {
     startOverload();
     fleet.areMessagesDoubled = true;
-    fleet.run(20000);
+    runWithMovingLoad(20000);
     checkSum();
 }
 
@@ -201,11 +214,11 @@
     for (const double frozenMs : { 700, 1500, 2500, 8000 }) {
         fleet.setFrozen(coordinator, true);
         fleet.setFrozen(40, true);
-        fleet.run(frozenMs);
+        runWithMovingLoad(frozenMs);
         fleet.setFrozen(coordinator, false);
         fleet.run(1000);
         fleet.setFrozen(40, false);
-        fleet.run(3000);
+        runWithMovingLoad(3000);
     }
     checkSum();
 }
@@ -213,14 +226,31 @@
 TEST(quota, keepsTheSumWithRestartsAndHasTheSharesBackSoon)
 {
     startOverload();
-    fleet.run(3000);
+    runWithMovingLoad(3000);
     for (int round = 0; round < 5; ++round) {
-        fleet.restart(fleet.findCoordinator());
-        fleet.restart(3);
-        fleet.run(400);
+        // The borrowers don't learn of the restart and use their grants to the end.
+        const auto coordinator = fleet.findCoordinator();
+        const auto last = moveCount - 1;
+        fleet.isCut = [=](std::size_t from, std::size_t to) {
+            return to == coordinator && (from == last * 7 % fleetSize || from == (last * 7 + 31) % fleetSize);
+        };
+        fleet.restart(coordinator);
+        runWithMovingLoad(700);
+        fleet.isCut = nullptr;
+        runWithMovingLoad(2800);
     }
+    // Nodes whose shares are all in use elsewhere.
+    fleet.clearLoads();
+    fleet.addLoad(3, "a", 1400);
+    fleet.addLoad(40, "a", 1400);
+    fleet.run(4000);
+    for (std::size_t node = 1; node < fleetSize; node += 5)
+        fleet.restart(node);
+    fleet.run(3000);
     for (std::size_t node = 0; node < fleetSize; ++node)
         fleet.restart(node);
+    fleet.clearLoads();
+    fleet.spreadLoad("a", 2800);
     const auto restartedAt = fleet.getNow();
     fleet.run(15000);
     CHECK(fleet.getAdmittedPerSecond("a", restartedAt + 4000) >= 0.9 * 400);
