policy, mesh: Admit call trees by the load of the services they reach

Entries learned of a bottleneck further down only from requests that had failed after their work was done, in windows of 200 ms.

Replies between nodes now carry the offered load of the instance's service and of those below it (fg-capacity), and nodes learn what the requests of a route need of each. The gate at the entry admits the share that the busiest service can complete. A refused request is told to return within the latency target if that is possible. A call whose parent has ended, or has another call without room, is not retried.

--- a/core/peer_envelope.cpp
+++ b/core/peer_envelope.cpp
@@ -20,11 +20,11 @@
     constexpr std::array outcomeNames { "answered", "no-room", "shed", "rejected", "over-budget", "leaving",
         "unreachable", "misdirected", "lost", "timed-out" };
 
-    std::vector<std::string_view> splitAtSpaces(std::string_view text)
+    std::vector<std::string_view> split(std::string_view text, char separator)
     {
         std::vector<std::string_view> fields;
         std::size_t from = 0;
-        for (auto at = text.find(' '); at != std::string_view::npos; at = text.find(' ', from)) {
+        for (auto at = text.find(separator); at != std::string_view::npos; at = text.find(separator, from)) {
             fields.push_back(text.substr(from, at - from));
             from = at + 1;
         }
@@ -32,6 +32,8 @@
         return fields;
     }
 
+    std::vector<std::string_view> splitAtSpaces(std::string_view text) { return split(text, ' '); }
+
     std::optional<long> parseNumber(std::string_view text)
     {
         long value = 0;
@@ -175,6 +177,49 @@
     return reply;
 }
 
+std::string formatCapacities(const std::vector<service_capacity>& capacities)
+{
+    constexpr double tenths = 10;
+    constexpr std::size_t maxNameLength = 64;
+    std::string text;
+    std::size_t count = 0;
+    for (const auto& item : capacities) {
+        const bool isSendable = !item.service.empty() && item.service.size() <= maxNameLength
+            && item.service.find_first_of(" ,") == std::string::npos;
+        if (!isSendable || count == maxReportedServices)
+            continue;
+        text += (count > 0 ? "," : "") + item.service + ' ' + std::to_string(std::lround(item.load * percent))
+            + ' ' + formatTime(item.age) + ' ' + std::to_string(std::lround(item.calls * tenths)) + ' '
+            + formatTime(item.work);
+        ++count;
+    }
+    return text;
+}
+
+std::vector<service_capacity> parseCapacities(const std::string* value)
+{
+    constexpr std::size_t fieldCount = 5;
+    constexpr double tenths = 10;
+    std::vector<service_capacity> capacities;
+    if (!value)
+        return capacities;
+    for (const auto& entry : split(*value, ',')) {
+        const auto fields = splitAtSpaces(entry);
+        if (fields.size() != fieldCount || fields[0].empty() || capacities.size() == maxReportedServices)
+            continue;
+        const auto load = parseNumber(fields[1]);
+        const auto age = parseNumber(fields[2]);
+        const auto calls = parseNumber(fields[3]);
+        const auto work = parseNumber(fields[4]);
+        if (!load || !age || !calls || !work || *load < 0 || *age < 0 || *calls < 0 || *work < 0)
+            continue;
+        capacities.push_back({ std::string(fields[0]), static_cast<double>(*load) / percent,
+            milliseconds(static_cast<double>(*age)), static_cast<double>(*calls) / tenths,
+            milliseconds(static_cast<double>(*work)) });
+    }
+    return capacities;
+}
+
 std::string formatRejectedShare(double share) { return std::to_string(std::lround(share * percent)); }
 
 double parseRejectedShare(const std::string* value)
--- a/core/peer_envelope.h
+++ b/core/peer_envelope.h
@@ -4,6 +4,8 @@
 
 #include <optional>
 #include <string>
+#include <tuple>
+#include <vector>
 
 namespace fuchsiagauge {
 
@@ -43,6 +45,7 @@
     std::string organisation;
     /// The organisation is that of the parent request: the request has no key of its own.
     bool isOrganisationInherited = false;
+    std::string route; ///< Name of the route; each node finds it by its own rules, it is not sent.
 };
 
 /// Outcome of an attempt to send a request to an instance.
@@ -86,6 +89,25 @@
     downstream_failure downstreamFailure = downstream_failure::None;
 };
 
+/// What the node of an instance knows of a service: its own one or one further down.
+struct service_capacity {
+    std::string service;
+    double load = 0; ///< Offered work relative to the capacity, at the call's priority and above.
+    milliseconds age; ///< Time since the load was measured.
+    double calls = 0; ///< Calls to the service that one request of the call's route needs.
+    milliseconds work; ///< Time for which these calls hold slots.
+
+    friend bool operator==(const service_capacity& a, const service_capacity& b)
+    {
+        return std::tie(a.service, a.load, a.age, a.calls, a.work)
+            == std::tie(b.service, b.load, b.age, b.calls, b.work);
+    }
+    friend bool operator!=(const service_capacity& a, const service_capacity& b) { return !(a == b); }
+};
+
+/// Largest number of services in one header value; further ones are left out.
+constexpr std::size_t maxReportedServices = 8;
+
 /// Names of the HTTP header fields that carry the metadata between nodes.
 namespace peer_header {
     constexpr const char* call = "fg-call";
@@ -98,6 +120,8 @@
     constexpr const char* rateLimit = "fg-limit";
     /// The organisation of the call; absent if it has none.
     constexpr const char* organisation = "fg-organisation";
+    /// Load of the services further down and what the call's requests need of them; absent if it is low.
+    constexpr const char* capacity = "fg-capacity";
     /// Present in replies if the instance has announced that it is about to stop.
     constexpr const char* leaving = "fg-leaving";
 }
@@ -132,6 +156,13 @@
 /// @return the rate limit in requests per second; nothing if it is missing or invalid.
 std::optional<double> parseRateLimit(const std::string* value);
 
+/// @return the capacities as a header value, of at most `maxReportedServices` services.
+std::string formatCapacities(const std::vector<service_capacity>& capacities);
+
+/// @param value the header value; null if the field is missing.
+/// @return the capacities; entries that are not valid are left out.
+std::vector<service_capacity> parseCapacities(const std::string* value);
+
 /// @return the reply metadata parsed from a header value, or nothing with error_kind::BadPeerMessage.
 std::optional<peer_reply> parsePeerReply(const std::string& value);
 
--- a/mesh/inbound_call.cpp
+++ b/mesh/inbound_call.cpp
@@ -33,6 +33,8 @@
         if (!hasResponse) {
             const bool isRefusal = isGateRefusal(result.outcome);
             context.counters.gateRefusals.add(isRefusal ? 1 : 0);
+            if (!result.bottleneck.empty())
+                context.counters.countTreeShed(result.bottleneck);
             context.log.write(isRefusal ? event_kind::GateRefused : event_kind::InstanceFailed,
                 call.requestId,
                 { { "outcome", std::string(getAttemptOutcomeName(result.outcome)) },
@@ -54,6 +56,8 @@
                 peer_header::rejectedShare, formatRejectedShare(result.load.rejectedShare));
         if (result.load.rateLimit)
             result.head.fields.add(peer_header::rateLimit, formatRateLimit(*result.load.rateLimit));
+        if (!result.capacities.empty())
+            result.head.fields.add(peer_header::capacity, formatCapacities(result.capacities));
         if (result.isInstanceLeaving)
             result.head.fields.add(peer_header::leaving, "1");
         incoming.respond(result.head, result.body);
@@ -79,6 +83,9 @@
     request.fields.erase(peer_header::organisation);
     if (context.rules->hasOrganisations())
         context.protocol.removeOrganisationFields(request.fields);
+    const auto host = context.protocol.parseClientFields(request.fields).host;
+    if (const auto* route = context.rules->findRoute(host, request.getPath()))
+        call->route = route->name;
     // The other node can still send a request that must run once elsewhere, but no longer once it is cut off.
     const bool mayBeCutOff
         = context.endsAt && !call->isIdempotent && context.time.now() + call->timeLeft > *context.endsAt;
--- a/mesh/local_target.cpp
+++ b/mesh/local_target.cpp
@@ -47,11 +47,12 @@
 
 } // namespace
 
-local_target::local_target(boost::asio::io_context& io, clock time, address target,
+local_target::local_target(boost::asio::io_context& io, clock time, std::string service, address target,
     const target_protocol& protocol, retry_limits limits, std::shared_ptr<receive_memory> memory,
     local_retry_hook onLocalRetry)
     : m_time(std::move(time))
     , m_protocol(protocol)
+    , m_callTrees(std::move(service))
     , m_retryBudget(limits)
     , m_onLocalRetry(std::move(onLocalRetry))
     , m_pool(io, m_time, std::move(target), makePoolLimits(std::move(memory)))
@@ -70,8 +71,7 @@
     m_activeRequests.emplace(id, std::move(active));
     if (!m_hasResponded && call.rateLimit)
         m_gate.setRateLimit(call.rateLimit, now);
-    if (call.depth == 0
-        && !m_entryAdmission.isAdmitted(call.priority, static_cast<double>(call.rank) / rankCount)) {
+    if (call.depth == 0 && !isAdmittedAtEntry(call, now)) {
         refuse(id, attempt_outcome::Shed);
         return id;
     }
@@ -79,6 +79,7 @@
         refuse(id, attempt_outcome::OverBudget);
         return id;
     }
+    recordArrivalAtGate(call, now);
     m_gate.submit(now,
         { id, call.priority, call.depth, call.rank, now + call.startWithin, call.organisation },
         [this, id](std::optional<error_kind> refusal) {
@@ -92,6 +93,23 @@
     return id;
 }
 
+/// Decides by the load of the services that the request's calls will reach, or, if it is not known, by how
+/// many requests failed for lack of capacity.
+bool local_target::isAdmittedAtEntry(const peer_call& call, milliseconds now)
+{
+    const double fraction = static_cast<double>(call.rank) / rankCount;
+    const auto decision = m_callTrees.isAdmitted(now, call.route, call.priority, fraction);
+    return decision.value_or(m_entryAdmission.isAdmitted(call.priority, fraction));
+}
+
+/// Counts the work that a request asks of the instance. A rate limit makes it as scarce as slots.
+void local_target::recordArrivalAtGate(const peer_call& call, milliseconds now)
+{
+    const auto report = m_gate.getReport();
+    m_callTrees.onArrival(
+        now, call.priority, std::max(report.serviceTime, report.getStartTime(1) * report.slots));
+}
+
 bool local_target::isWithinRetryBudget(const peer_call& call, milliseconds now)
 {
     switch (call.retryKind) {
@@ -127,7 +145,8 @@
         return std::nullopt;
     const auto& active = m_activeRequests.at(found->second);
     return parent_request { active.call.priority, active.call.depth, active.call.rank,
-        active.call.retryKind != retry_kind::None, active.expiresAt, active.call.organisation };
+        active.call.retryKind != retry_kind::None, active.expiresAt, active.call.organisation,
+        active.downstreamFailure };
 }
 
 void local_target::recordDownstreamFailure(const std::string& requestId, downstream_failure failure)
@@ -139,6 +158,19 @@
     recorded = std::max(recorded, failure);
 }
 
+void local_target::recordDownstreamReply(
+    const std::string& requestId, const std::string& service, const attempt_result& result)
+{
+    const auto found = m_runningIds.find(requestId);
+    if (found == m_runningIds.end() || !result.hasLoad)
+        return;
+    auto& active = m_activeRequests.at(found->second);
+    const auto needs = m_callTrees.onReply(
+        m_time.now(), active.call.priority, service, result.load.serviceTime, result.capacities);
+    if (result.outcome == attempt_outcome::Answered)
+        addNeeds(active.needs, needs);
+}
+
 /// Removes a request from all indexes.
 local_target::active_request local_target::extract(
     std::unordered_map<std::uint64_t, active_request>::iterator position)
@@ -155,6 +187,7 @@
 {
     m_gate.tick(m_time.now());
     m_entryAdmission.tick(m_time.now());
+    m_callTrees.tick(m_time.now());
     m_pool.tick();
 }
 
@@ -214,11 +247,17 @@
     const auto found = m_activeRequests.find(id);
     if (found == m_activeRequests.end())
         return;
-    const auto onEnd = extract(found).onEnd;
+    const auto refused = extract(found);
     attempt_result result;
     result.outcome = outcome;
-    describeInstance(result);
-    onEnd(std::move(result));
+    describeInstance(refused.call, result);
+    if (outcome == attempt_outcome::Shed) {
+        result.bottleneck
+            = m_callTrees.findBottleneck(m_time.now(), refused.call.route, refused.call.priority);
+        if (!result.bottleneck.empty())
+            result.detail = "too much work at service " + result.bottleneck;
+    }
+    refused.onEnd(std::move(result));
 }
 
 void local_target::finish(std::uint64_t id, outgoing_result outgoing)
@@ -247,15 +286,19 @@
     const bool isServiceTimeSample
         = result.outcome == attempt_outcome::Answered || result.outcome == attempt_outcome::TimedOut;
     m_gate.finish(now, isServiceTimeSample ? std::optional(heldFor) : std::nullopt, id);
-    describeInstance(result);
+    describeInstance(active.call, result);
     updateEntryAdmission(active.call, result);
+    constexpr int firstErrorStatus = 400;
+    if (result.outcome == attempt_outcome::Answered && result.head.status < firstErrorStatus)
+        m_callTrees.onCompletion(active.call.route, active.needs, heldFor);
     active.onEnd(std::move(result));
 }
 
 /// Adds what is known of the instance to the result of an attempt.
-void local_target::describeInstance(attempt_result& result) const
+void local_target::describeInstance(const peer_call& call, attempt_result& result) const
 {
     result.load = m_gate.getReport();
+    result.capacities = m_callTrees.getCapacities(m_time.now(), call.route, call.priority, result.load.slots);
     result.hasLoad = true;
     result.isInstanceLeaving = m_isInstanceLeaving;
 }
--- a/mesh/local_target.h
+++ b/mesh/local_target.h
@@ -2,6 +2,7 @@
 
 #include "core/peer_envelope.h"
 #include "mesh/target_protocol.h"
+#include "policy/call_tree_node.h"
 #include "policy/entry_admission.h"
 #include "policy/retry_budget.h"
 #include "policy/slot_gate.h"
@@ -14,6 +15,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace fuchsiagauge {
 
@@ -28,6 +30,9 @@
     bool isInstanceLeaving = false; ///< The instance has announced that it is about to stop.
     /// How a downstream call that the instance made for the request failed.
     downstream_failure downstreamFailure = downstream_failure::None;
+    /// The service whose load is the reason for a refusal by this node's gate; empty if there is none.
+    std::string bottleneck;
+    std::vector<service_capacity> capacities; ///< Of the instance's service and those further down.
 };
 
 /// The properties that downstream calls inherit from a request running on the local instance.
@@ -38,6 +43,8 @@
     bool isRetry = false; ///< An instance may already have seen this request or a request it was made for.
     milliseconds expiresAt;
     std::string organisation; ///< Organisation that the request counts for; empty if it has none.
+    /// The worst failure of a downstream call so far.
+    downstream_failure downstreamFailure = downstream_failure::None;
 };
 
 /// Called when an attempt has ended.
@@ -53,13 +60,15 @@
 /// every retry.
 class local_target {
 public:
+    /// @param service service of the instance.
     /// @param target address of the instance.
     /// @param protocol how to exchange metadata with the instance; must outlive this object.
     /// @param limits fleet-wide limits on retries.
     /// @param memory limits the memory for responses; may be null.
     /// @param onLocalRetry reports local retries.
-    local_target(boost::asio::io_context& io, clock time, address target, const target_protocol& protocol,
-        retry_limits limits, std::shared_ptr<receive_memory> memory, local_retry_hook onLocalRetry);
+    local_target(boost::asio::io_context& io, clock time, std::string service, address target,
+        const target_protocol& protocol, retry_limits limits, std::shared_ptr<receive_memory> memory,
+        local_retry_hook onLocalRetry);
 
     /// Runs a request as soon as a slot is free.
     /// @param request the request with the client's header fields.
@@ -80,6 +89,14 @@
     /// that are not running are ignored.
     void recordDownstreamFailure(const std::string& requestId, downstream_failure failure);
 
+    /// Records what the reply to a downstream call of a running request states.
+    /// @param service the service that was called.
+    void recordDownstreamReply(
+        const std::string& requestId, const std::string& service, const attempt_result& result);
+
+    /// @return what is known of the call trees that pass the instance.
+    const call_tree_node& getCallTrees() const { return m_callTrees; }
+
     /// Refuses requests that have waited too long and ends those that have timed out.
     void tick();
 
@@ -109,13 +126,16 @@
         attempt_hook onEnd;
         int sendCount = 0; ///< How often it was sent to the instance.
         downstream_failure downstreamFailure = downstream_failure::None;
+        std::vector<service_need> needs; ///< What its downstream calls needed.
     };
 
     /// @return whether the request is not a retry, or is one that the budget allows.
     bool isWithinRetryBudget(const peer_call& call, milliseconds now);
     void start(std::uint64_t id);
     void sendToInstance(std::uint64_t id, active_request& active);
-    void describeInstance(attempt_result& result) const;
+    bool isAdmittedAtEntry(const peer_call& call, milliseconds now);
+    void recordArrivalAtGate(const peer_call& call, milliseconds now);
+    void describeInstance(const peer_call& call, attempt_result& result) const;
     void recordArrival(const outgoing_result& outgoing);
     void recordStatements(const target_response_info& info);
     bool mayRetryLocally(const active_request& active, const outgoing_result& outgoing);
@@ -129,6 +149,7 @@
     const target_protocol& m_protocol;
     slot_gate m_gate;
     entry_admission m_entryAdmission;
+    call_tree_node m_callTrees;
     retry_budget m_retryBudget;
     local_retry_hook m_onLocalRetry;
     pooled_http_client m_pool;
--- a/mesh/mesh_counters.cpp
+++ b/mesh/mesh_counters.cpp
@@ -70,4 +70,22 @@
     counter->add();
 }
 
+void mesh_counters::countTreeShed(const std::string& service)
+{
+    m_registry
+        .getCounter("fuchsiagauge_mesh_tree_shed_total",
+            "Requests refused at the local instance because a service further down has too much work.",
+            { { "service", service } })
+        .add();
+}
+
+void mesh_counters::setTreeDemand(const std::string& route, const std::string& service, milliseconds work)
+{
+    m_registry
+        .getGauge("fuchsiagauge_mesh_tree_work_ms",
+            "Time of slots of a service further down that one request of a route needs.",
+            { { "route", route }, { "service", service } })
+        .set(work.getCount());
+}
+
 } // namespace fuchsiagauge
--- a/mesh/mesh_counters.h
+++ b/mesh/mesh_counters.h
@@ -26,6 +26,12 @@
     /// Counts an attempt that has ended.
     void countAttempt(const std::string& instance, attempt_outcome outcome);
 
+    /// Counts a request that was refused because a service further down has too much work.
+    void countTreeShed(const std::string& service);
+
+    /// Sets the learned work that one request of a route needs of a service further down.
+    void setTreeDemand(const std::string& route, const std::string& service, milliseconds work);
+
     metric_counter& retries; ///< Requests retried after an instance may have seen them.
     metric_counter& localRetries; ///< Requests sent to the local instance again after it refused them.
     metric_counter& zoneSpillovers; ///< Requests sent to another availability zone of the same region.
--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -149,7 +149,7 @@
     })
     , picker(config.location, random)
     , memory(std::make_shared<receive_memory>(config.memoryBytes / responseMemoryFraction))
-    , target(ioContext, time, config.target, protocol, config.retryLimits, memory,
+    , target(ioContext, time, config.service, config.target, protocol, config.retryLimits, memory,
           [this](
               const std::string& requestId, const std::string& refusal) { onLocalRetry(requestId, refusal); })
     , peerPools(ioContext, time, memory)
@@ -417,6 +417,10 @@
     counters.isConnected.set(exchange.isConnected() ? 1 : 0);
     counters.replicaRevision.set(static_cast<double>(exchange.getReplica().getRevision()));
     counters.instances.set(static_cast<double>(directory.getEntries().size()));
+    for (const auto& route : target.getCallTrees().getDemand().getRoutes()) {
+        for (const auto& need : target.getCallTrees().getDemand().getNeeds(route))
+            counters.setTreeDemand(route, need.service, need.work);
+    }
     return metrics.formatPrometheusText(time.now());
 }
 
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -1,6 +1,7 @@
 #include "mesh/outbound_call.h"
 
 #include "core/text_fields.h"
+#include "policy/retry_schedule.h"
 
 #include <algorithm>
 #include <utility>
@@ -26,8 +27,6 @@
     constexpr int firstServerErrorStatus = 500;
     constexpr double retryAfterLatencyShare = 0.4; ///< Mean Retry-After as a share of the latency target.
     constexpr double maxRetryAfterS = 1; ///< After longer pauses most routes miss their latency target.
-    /// Clients wait at most this share of their remaining time before a retry.
-    constexpr double retryAfterTimeLeftShare = 1.0 / 3;
     constexpr double noRulesRetryAfterS = 0.3; ///< A starting node receives its routes within this time.
     /// Share of the requests taken by a stopping node that may last beyond its end.
     constexpr double maxCutOffShare = 0.05;
@@ -250,6 +249,7 @@
     call.rateLimit = m_context.picker.getRateLimit(m_instance);
     call.callerService = m_context.config.service;
     call.requestId = m_clientInfo.requestId;
+    call.route = m_route->name;
     if (m_organisation) {
         call.organisation = m_organisation->name;
     } else if (m_parent) {
@@ -337,7 +337,9 @@
     outgoing.head.fields.erase(peer_header::reply);
     outgoing.head.fields.erase(peer_header::rejectedShare);
     outgoing.head.fields.erase(peer_header::rateLimit);
+    result.capacities = parseCapacities(outgoing.head.fields.find(peer_header::capacity));
     outgoing.head.fields.erase(peer_header::leaving);
+    outgoing.head.fields.erase(peer_header::capacity);
     result.head = std::move(outgoing.head);
     if (result.outcome == attempt_outcome::Answered)
         result.body = std::move(outgoing.body);
@@ -411,6 +413,8 @@
     const auto now = m_context.time.now();
     if (result.hasLoad)
         m_context.picker.onReport(ended.instance, now, result.load);
+    if (m_parent)
+        m_context.target.recordDownstreamReply(m_clientInfo.parentId, m_service, result);
     if (result.isInstanceLeaving)
         m_context.directory.markLeaving(ended.instance, ended.instanceStartedAtMs, now);
     const auto signal = getHealthSignal(result);
@@ -428,6 +432,8 @@
                 { "detail", result.detail } });
     }
     m_context.counters.countAttempt(ended.instance, result.outcome);
+    if (!result.bottleneck.empty())
+        m_context.counters.countTreeShed(result.bottleneck);
     if (signal == health_signal::Misdirected && m_context.onStaleInstance)
         m_context.onStaleInstance();
 }
@@ -439,13 +445,22 @@
     if (!std::exchange(ended.isInHistory, true))
         m_history.onEnd(result.outcome);
     const bool hasTime = m_expiresAt - m_context.time.now() >= minAttemptTime;
-    if (!hasTime || !m_history.mayRetry(result.outcome, result.downstreamFailure))
+    if (!hasTime || !m_history.mayRetry(result.outcome, result.downstreamFailure) || !canParentComplete())
         return false;
     if (isReceivedByInstance(result.outcome))
         recordRetry(ended, result);
     return true;
 }
 
+/// @return whether the request that this call is made for can still complete, so that a retry is of use.
+bool outbound_call::canParentComplete() const
+{
+    if (!m_parent)
+        return true;
+    const auto parent = m_context.target.findRunningRequest(m_clientInfo.parentId);
+    return parent && parent->downstreamFailure != downstream_failure::NoRoom;
+}
+
 void outbound_call::recordRetry(const attempt& ended, const attempt_result& result)
 {
     m_context.counters.retries.add();
@@ -538,8 +553,13 @@
     if (m_context.endsAt)
         return stoppingRetryAfterS;
     if (last == attempt_outcome::Shed && m_clientInfo.timeLeft) {
-        const auto left = *m_clientInfo.timeLeft - (now - m_incoming->getArrivalTime());
-        return left.getCount() / msPerSecond * retryAfterTimeLeftShare * (0.5 + 0.5 * m_context.random());
+        const auto spent = now - m_incoming->getArrivalTime();
+        const auto runTime = m_context.target.getCallTrees().getDemand().getRunTime(m_route->name);
+        const bool isRunTimeKnown = runTime > milliseconds();
+        const auto aimLeft = isRunTimeKnown ? m_route->latencyTarget - spent : milliseconds();
+        const auto pause
+            = scheduleRetry({ *m_clientInfo.timeLeft - spent, aimLeft, runTime }, m_context.random());
+        return pause.getCount() / msPerSecond;
     }
     const auto wait = m_context.picker.estimateWait(now, m_service, m_context.directory);
     const auto pause = m_route->latencyTarget * (retryAfterLatencyShare * (0.5 + m_context.random())) + wait;
--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -65,6 +65,7 @@
     void recordAttempt(const attempt& ended, const attempt_result& result);
     retry_kind getRetryKind() const;
     bool prepareRetry(attempt& ended, const attempt_result& result);
+    bool canParentComplete() const;
     void recordRetry(const attempt& ended, const attempt_result& result);
     void endAttempts(const attempt_result& last);
     void finish(const attempt_result& last);
--- a/tests/core/peer_envelope_test.cpp
+++ b/tests/core/peer_envelope_test.cpp
@@ -54,6 +54,27 @@
         DOUBLES_EQUAL(0, parseRejectedShare(&malformed), 0);
 }
 
+TEST(peer_envelope, roundTripsCapacities)
+{
+    const std::vector<service_capacity> capacities { { "c", 0.25, milliseconds(), 0, {} },
+        { "d", 1.5, milliseconds(20), 4.5, milliseconds(220) } };
+    const auto value = formatCapacities(capacities);
+    CHECK_EQUAL(std::string("c 25 0 0 0,d 150 20 45 220"), value);
+    CHECK(capacities == parseCapacities(&value));
+    CHECK(parseCapacities(nullptr).empty());
+}
+
+/// Guards against header values that grow or that break up at a service's name.
+TEST(peer_envelope, leavesOutCapacitiesThatCannotBeSent)
+{
+    std::vector<service_capacity> capacities(2 * maxReportedServices, { "d", 1, {}, 1, {} });
+    capacities.front().service = "a b";
+    const auto value = formatCapacities(capacities);
+    CHECK_EQUAL(maxReportedServices, parseCapacities(&value).size());
+    for (const std::string malformed : { "", "d", "d 1 2 3", "d -1 0 0 0", "d x 0 0 0", " 1 2 3 4" })
+        CHECK(parseCapacities(&malformed).empty());
+}
+
 TEST(peer_envelope, rejectsMalformedEnvelopes)
 {
     for (const char* text : { "", "1", "1 2 3", "x 1 1 0 0 0 0 i s r", "1 2 3 0 0 0 0 i s r more",
