--- a/mesh/mesh_counters.h
+++ b/mesh/mesh_counters.h
@@ -30,6 +30,12 @@
     /// Updates the metrics of the limits of organisations; they exist once an organisation has had a limit.
     void setQuota(const quota_agent& quota, milliseconds now);
 
+    /// Counts a request that was refused because a service further down has too much work.
+    void countTreeShed(const std::string& service);
+
+    /// Sets the learned work that one request of a route needs of a service further down.
+    void setTreeDemand(const std::string& route, const std::string& service, milliseconds work);
+
     metric_counter& retries; ///< Requests retried after an instance may have seen them.
     metric_counter& localRetries; ///< Requests sent to the local instance again after it refused them.
     metric_counter& zoneSpillovers; ///< Requests sent to another availability zone of the same region.
