--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -49,7 +49,7 @@
             "listen": {"callers": f"{self.ip}:{CALLERS_PORT}", "peers": f"{self.ip}:{PEERS_PORT}",
                        "ready": f"{self.ip}:{READY_PORT}"},
             "platform": {"address": f"{store_ip}:{STORE_PORT}", "apply_s": BOUNDS["apply_s"]},
-            "limits": {"memory_mb": 260}, "stop": {"grace_s": BOUNDS["grace_s"]},
+            "limits": self.fleet.limits, "stop": {"grace_s": BOUNDS["grace_s"]},
             "repeats": {key: BOUNDS[key] for key in ("ratio", "window_s", "extra")}}
         if self.fleet.has_drain_setting:
             settings["platform"]["drain_s"] = BOUNDS["drain_s"]
@@ -117,6 +117,8 @@
     its peers' listener as VM S reaches it.
     """
 
+    limits = {"memory_mb": 260}  # Of each node's settings.
+
     def __init__(self, record, folder, checkout, program, seed, services=("orders", "browse"), zones=4):
         self.record = record
         self.folder = folder
