transport, mesh: Bound what a node holds for clients by one memory account

Clients that sent bodies, trailers or chunk extensions without end, or never read their answers, took the memory of the process: only the memory of responses was accounted for, and each request's body was held up to three times.

memory_account counts requests from their first byte to their answer, and responses, on all listeners, in named shares of limits.memory_mb. The largest requests wait first (their connections are not read); then those that make the least progress are given up, with 503 if their head was read. Small requests keep a reserve. A body is shared by the copies of its request and sent without another copy; connections share one read buffer a listener or pool. Trailers, chunk extensions, chunks, idle time inside a body and descriptors have limits, each a setting with a metric. A full listener closes the connection that has been idle for longest. Between nodes a refusal carries the reply envelope.

--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -24,7 +24,7 @@
         "watch-replaced", "reading-changed", "entry-ignored", "instance-changed", "instance-avoided",
         "request-refused", "request-failed", "request-repeated", "request-asked-again", "request-cancelled",
         "request-spilled", "limit-changed", "gate-refused", "instance-failed", "pause-detected",
-        "request-served" };
+        "client-refused", "request-served" };
     static_assert(eventNames.size() == static_cast<std::size_t>(event_kind::Count));
 
 } // namespace
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -37,6 +37,7 @@
     GateRefused, ///< The admission gate of the instance's node refused a request.
     InstanceFailed, ///< The instance of this node did not respond to a request or did not run it.
     PauseDetected, ///< The process was suspended or not scheduled for too long.
+    ClientRefused, ///< A request was refused, or a connection closed, before the request had been received.
     RequestServed, ///< The request ended without a server error; logged only at level debug.
     Count,
 };
--- a/main/mesh_main.cpp
+++ b/main/mesh_main.cpp
@@ -6,11 +6,14 @@
 #include "platform/platform_feed.h"
 #include "platform/platform_protocol.h"
 
+#include <algorithm>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
 #include <iostream>
+#include <malloc.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <utility>
 
@@ -82,6 +85,21 @@
         std::int64_t m_modificationTimeNs;
     };
 
+    /// Limits the descriptors of the process, and lets large bodies be returned to the system when they are
+    /// freed. Without the fixed threshold, freeing one raises it, and later ones stay in the heap.
+    void limitProcess(mesh_settings& config)
+    {
+        constexpr int mappedBytes = 131072;
+        ::mallopt(M_MMAP_THRESHOLD, mappedBytes);
+        ::mallopt(M_TRIM_THRESHOLD, mappedBytes);
+        rlimit limit {};
+        if (::getrlimit(RLIMIT_NOFILE, &limit) != 0)
+            return;
+        limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, config.maxDescriptors);
+        config.maxDescriptors = limit.rlim_cur;
+        ::setrlimit(RLIMIT_NOFILE, &limit);
+    }
+
 } // namespace
 
 int checkMeshSettings(const std::string& fileName)
@@ -96,11 +114,12 @@
 
 int runMeshNode(const std::string& fileName)
 {
-    const auto config = mesh_settings::load(fileName);
+    auto config = mesh_settings::load(fileName);
     if (!config) {
         std::cerr << copyLastError().detail << '\n';
         return invalidSettingsExitCode;
     }
+    limitProcess(*config);
     boost::asio::io_context io(1);
     mesh_node node(io, *config, makePlatformProtocol());
     if (!node.start()) {
--- a/mesh/inbound_call.cpp
+++ b/mesh/inbound_call.cpp
@@ -55,7 +55,7 @@
             result.head.fields.add(peer_header::rateLimit, formatRateLimit(*result.load.rateLimit));
         if (result.isInstanceLeaving)
             result.head.fields.add(peer_header::leaving, "1");
-        incoming.respond(result.head, result.body);
+        incoming.respond(result.head, std::move(result.body));
     }
 
 } // namespace
--- a/mesh/mesh_counters.cpp
+++ b/mesh/mesh_counters.cpp
@@ -34,6 +34,14 @@
           "1 if the platform answers this node or the node that it learns from."))
     , replicaRevision(registry.getGauge(
           "fuchsiagauge_mesh_items_revision", "Revision of the platform up to which all changes are known."))
+    , heldRequestBytes(registry.getGauge("fuchsiagauge_mesh_held_request_bytes",
+          "Memory of requests, from their first byte to their response."))
+    , heldResponseBytes(registry.getGauge("fuchsiagauge_mesh_held_response_bytes",
+          "Memory of responses, until their clients have read them."))
+    , waitingReaders(registry.getGauge(
+          "fuchsiagauge_mesh_paused_connections", "Connections that are not read for lack of memory."))
+    , connections(
+          registry.getGauge("fuchsiagauge_mesh_connections", "Incoming connections on all listeners."))
     , m_registry(registry)
 {
 }
@@ -70,4 +78,15 @@
     counter->add();
 }
 
+void mesh_counters::countClientRefusal(const std::string& reason)
+{
+    auto& counter = m_clientRefusals[reason];
+    if (!counter) {
+        counter = &m_registry.getCounter("fuchsiagauge_mesh_clients_refused_total",
+            "Requests refused and connections closed before the request had been received, by limit.",
+            { { "reason", reason } });
+    }
+    counter->add();
+}
+
 } // namespace fuchsiagauge
--- a/mesh/mesh_counters.h
+++ b/mesh/mesh_counters.h
@@ -26,6 +26,11 @@
     /// Counts an attempt that has ended.
     void countAttempt(const std::string& instance, attempt_outcome outcome);
 
+    /// Counts a request that was refused, or a connection that was closed, before the request had been
+    /// received.
+    /// @param reason limit that was reached, such as `memory`.
+    void countClientRefusal(const std::string& reason);
+
     metric_counter& retries; ///< Requests retried after an instance may have seen them.
     metric_counter& localRetries; ///< Requests sent to the local instance again after it refused them.
     metric_counter& zoneSpillovers; ///< Requests sent to another availability zone of the same region.
@@ -44,12 +49,17 @@
     metric_gauge& isReader;
     metric_gauge& isConnected;
     metric_gauge& replicaRevision;
+    metric_gauge& heldRequestBytes; ///< Of requests, from their first byte to their response.
+    metric_gauge& heldResponseBytes; ///< Of responses, until their clients have read them.
+    metric_gauge& waitingReaders; ///< Connections that are not read for lack of memory.
+    metric_gauge& connections; ///< Incoming ones, on all listeners.
 
 private:
     metrics_registry& m_registry;
     std::map<std::string, metric_counter*> m_requests;
     std::map<std::string, latency_distribution*> m_latencies;
     std::map<std::string, metric_counter*> m_attempts;
+    std::map<std::string, metric_counter*> m_clientRefusals;
 };
 
 } // namespace fuchsiagauge
--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -35,8 +35,8 @@
     /// Time in which clients and peers may close their connections after the node has shut them down. Closing
     /// them at once could discard the end of a response that is still on its way.
     constexpr milliseconds maxConnectionShutdownTime { 300 };
-    /// Fraction of the process' memory that responses being received may take.
-    constexpr std::size_t responseMemoryFraction = 4;
+    /// Share of the descriptors that incoming connections may take.
+    constexpr double incomingDescriptorShare = 0.75;
     /// Shares of the time for which a node may act on items that are out of date.
     constexpr double readerStalenessShare = 0.75; ///< More than the platform client takes to notice silence.
     constexpr double nodeStalenessShare = 0.85; ///< Leaves time for one read of the platform.
@@ -77,6 +77,7 @@
 struct mesh_node::state : std::enable_shared_from_this<mesh_node::state> {
     state(boost::asio::io_context& ioContext, mesh_settings settings, target_protocol targetProtocol);
 
+    void limitServer(http_server& server);
     bool open();
     void tick();
     void scheduleTick();
@@ -112,7 +113,9 @@
     instance_directory directory;
     instance_picker picker;
     traffic_splitter splitter;
-    std::shared_ptr<receive_memory> memory;
+    std::shared_ptr<memory_account> account;
+    std::shared_ptr<receive_memory> memory; ///< Of responses; part of `account`.
+    std::shared_ptr<connection_budget> connections = std::make_shared<connection_budget>();
     local_target target;
     peer_pools peerPools;
     platform_hooks platform;
@@ -148,7 +151,8 @@
         onInstanceChange(entry, change);
     })
     , picker(config.location, random)
-    , memory(std::make_shared<receive_memory>(config.memoryBytes / responseMemoryFraction))
+    , account(std::make_shared<memory_account>(makeMemoryShares(config.memoryBytes)))
+    , memory(account->getResponses())
     , target(ioContext, time, config.target, protocol, config.retryLimits, memory,
           [this](
               const std::string& requestId, const std::string& refusal) { onLocalRetry(requestId, refusal); })
@@ -181,11 +185,41 @@
     // closed.
     constexpr milliseconds clientSendTimeout { 30000 };
     callersServer.setSendTimeout(clientSendTimeout);
-    callersServer.setMemory(memory);
-    peersServer.setMemory(memory);
+    connections->limit
+        = static_cast<std::size_t>(static_cast<double>(config.maxDescriptors) * incomingDescriptorShare);
+    for (auto* server : { &callersServer, &peersServer, &readinessServer, &metricsServer })
+        limitServer(*server);
     peersServer.setLimits(peerLimits);
 }
 
+/// Applies the limits on memory, connections and bodies to a listener.
+void mesh_node::state::limitServer(http_server& server)
+{
+    server.setAccount(account);
+    server.setBudget(connections);
+    server.setReceiveLimits(config.receiveLimits);
+    const auto onRefused = [this](const char* reason) {
+        counters.countClientRefusal(reason);
+        log.write(event_kind::ClientRefused, {},
+            { { "reason", std::string(reason) },
+                { "request_bytes", static_cast<double>(account->getRequestBytes()) },
+                { "response_bytes", static_cast<double>(memory->getUsed()) },
+                { "connections", static_cast<double>(connections->open) } });
+    };
+    server.setRefusalHooks(onRefused, [this, isForPeers = &server == &peersServer](response_head& head) {
+        if (!isForPeers)
+            return;
+        const auto load = target.getLoad();
+        peer_reply reply;
+        reply.outcome = attempt_outcome::NoRoom;
+        reply.busy = load.busy;
+        reply.waiting = load.waiting;
+        reply.slots = load.slots;
+        reply.serviceTime = load.serviceTime;
+        head.fields.add(peer_header::reply, formatPeerReply(reply));
+    });
+}
+
 bool mesh_node::state::open()
 {
     const bool isOpen = callersServer.open(config.callersListener) && peersServer.open(config.peersListener)
@@ -218,6 +252,7 @@
     openCalls.erase(
         std::remove_if(openCalls.begin(), openCalls.end(), [](const auto& call) { return call->isEnded(); }),
         openCalls.end());
+    account->tick(now);
     directory.tick(now);
     updateLocalGate(now);
     target.tick();
@@ -413,6 +448,10 @@
     counters.slotsWaiting.set(load.waiting);
     counters.rateLimit.set(load.rateLimit.value_or(0));
     counters.openCalls.set(static_cast<double>(openCalls.size()));
+    counters.heldRequestBytes.set(static_cast<double>(account->getRequestBytes()));
+    counters.heldResponseBytes.set(static_cast<double>(memory->getUsed()));
+    counters.waitingReaders.set(static_cast<double>(account->getWaitingCount()));
+    counters.connections.set(static_cast<double>(connections->open));
     counters.isReader.set(exchange.isReader() ? 1 : 0);
     counters.isConnected.set(exchange.isConnected() ? 1 : 0);
     counters.replicaRevision.set(static_cast<double>(exchange.getReplica().getRevision()));
--- a/mesh/mesh_settings.cpp
+++ b/mesh/mesh_settings.cpp
@@ -87,11 +87,23 @@
         makeNumberRow("repeats.extra", 50, 0, 1e6,
             "Retries per service and window that are allowed in addition to the ratio."),
         makeNumberRow("limits.connections", 3000, 16, 100000,
-            "Maximum number of concurrent incoming connections on each listener."),
+            "Maximum number of concurrent incoming connections on each listener. The one that has been idle "
+            "for longest is closed for a new one."),
+        makeNumberRow("limits.descriptors", 16384, 64, 1000000,
+            "Maximum number of descriptors of the process. Incoming connections take at most three quarters "
+            "of them."),
+        makeNumberRow(
+            "limits.trailer_bytes", 16384, 0, 1048576, "Maximum size of the trailer of a request, in bytes."),
+        makeNumberRow("limits.chunk_extension_bytes", 4096, 16, 1048576,
+            "Maximum size of the size line of one chunk with its extensions, in bytes."),
+        makeNumberRow("limits.chunks_per_byte", 1, 0, 1,
+            "Maximum number of chunks of a request for each byte of its body, beyond the first 1024 chunks."),
+        makeNumberRow("limits.body_idle_s", 15, 0.1, 3600,
+            "Time without any byte of a body after which its connection is closed, in seconds."),
         makeNumberRow("limits.memory_mb", 256, 16, 65536,
-            "Memory that the process may use, in MB. Responses that are being received take at most a "
-            "quarter "
-            "of it."),
+            "Memory that the process may use, in MB. Of it, 24 MB or at most half are left for the process "
+            "itself; requests take 60 % of the rest, and small ones another 6.25 %; responses take a quarter "
+            "of the whole."),
         makeTextRow(
             "log.level", "info", false, "Minimum severity that is logged: debug, info, warning or error."),
     };
@@ -142,6 +154,12 @@
     result.retryLimits.window = readSeconds(*values, "repeats.window_s");
     result.retryLimits.extra = values->getNumber("repeats.extra");
     result.memoryBytes = static_cast<std::size_t>(values->getNumber("limits.memory_mb") * bytesPerMb);
+    result.maxDescriptors = static_cast<std::size_t>(values->getNumber("limits.descriptors"));
+    auto& limits = result.receiveLimits;
+    limits.trailerBytes = static_cast<std::size_t>(values->getNumber("limits.trailer_bytes"));
+    limits.chunkExtensionBytes = static_cast<std::size_t>(values->getNumber("limits.chunk_extension_bytes"));
+    limits.chunksPerByte = values->getNumber("limits.chunks_per_byte");
+    limits.bodyIdleTimeout = readSeconds(*values, "limits.body_idle_s");
     result.maxConnections = static_cast<std::size_t>(values->getNumber("limits.connections"));
     result.logLevel = values->getText("log.level");
     return result;
--- a/mesh/mesh_settings.h
+++ b/mesh/mesh_settings.h
@@ -5,6 +5,7 @@
 #include "core/settings.h"
 #include "policy/instance_picker.h"
 #include "policy/retry_budget.h"
+#include "transport/receive_limits.h"
 
 #include <algorithm>
 #include <optional>
@@ -38,6 +39,8 @@
     milliseconds gracePeriod { 6000 }; ///< Time from the stop signal until the process is killed.
     retry_limits retryLimits;
     std::size_t maxConnections = 3000; ///< Per listener.
+    std::size_t maxDescriptors = 16384; ///< Of the process.
+    receive_limits receiveLimits;
     std::size_t memoryBytes = 268435456; ///< Memory that the process may use.
     std::string logLevel;
 
--- a/tests/uncontrolled_clients/uncontrolled_clients.py
+++ b/tests/uncontrolled_clients/uncontrolled_clients.py
@@ -28,6 +28,8 @@
 SMALL_CHUNKS = 1 << 20  # Chunks of one byte from each client.
 ENDLESS_BYTES = 4 << 20  # Of trailers, of a chunk extension or of a head.
 IDLE_CONNECTIONS = 2000
+LARGEST_BODY_BYTES = 64 << 20
+LARGEST_BODY_MEMORY_MB = 160
 ANSWER_BYTES = 1000000
 UNREAD_REQUESTS = 8  # Pipelined on each connection that never reads.
 ATTACK_S = 8
@@ -153,11 +155,16 @@
             self.writer.transport.abort()
 
 
+def get_memory_mb(form):
+    return LARGEST_BODY_MEMORY_MB if form == "largest" else MEMORY_MB
+
+
 class Play:
     """One form through one, two or the peers' listener of a node."""
 
     def __init__(self, fleet, form, hops):
         self.fleet = fleet
+        self.body = b"x" * (LARGEST_BODY_BYTES if form == "largest" else 100)
         self.service = "orders" if hops == "one" else "browse"
         node = fleet.nodes[1 if hops == "peer" else 0]
         self.address = (node.ip, PEERS_PORT if hops == "peer" else CALLERS_PORT)
@@ -165,8 +172,8 @@
         self.pids = [node.process.pid for node in fleet.nodes]
 
     def make_clients(self):
-        count = IDLE_CONNECTIONS if self.form == "idle" else CLIENTS
-        forms = MIXED if self.form == "mixed" else (self.form,)
+        count = IDLE_CONNECTIONS if self.form == "idle" else 1 if self.form == "largest" else CLIENTS
+        forms = {"mixed": MIXED, "largest": ("idle",)}.get(self.form, (self.form,))
         path = f"/{self.service}/0/10/0"
         return [Client(self.address, forms[number % len(forms)], path, number) for number in range(count)]
 
@@ -179,8 +186,9 @@
             number += 1
             try:
                 reader, writer = await asyncio.open_connection(self.fleet.nodes[0].ip, CALLERS_PORT)
-                fields = [("Content-Length", 100), ("Request-Deadline", 5000)]
-                writer.write(make_head(f"/{self.service}/0/10/0", fields, f"ordinary-{number}") + b"x" * 100)
+                fields = [("Content-Length", len(self.body)), ("Request-Deadline", 5000)]
+                writer.write(make_head(f"/{self.service}/0/10/0", fields, f"ordinary-{number}"))
+                writer.write(self.body)
                 head = await asyncio.wait_for(wire.read_head(reader), end - self.fleet.record.now())
                 status = head.get_status() if head else None
                 writer.close()
@@ -204,8 +212,7 @@
             client.close()
         return faults
 
-    @staticmethod
-    def check(node, pid):
+    def check(self, node, pid):
         if not node.is_running() or node.process.pid != pid:
             return [f"{node.name}: the process has ended"]
         with open(f"/proc/{pid}/status", encoding="ascii") as file:
@@ -213,8 +220,9 @@
         descriptors = len(os.listdir(f"/proc/{pid}/fd"))
         print(f"{node.name}: {largest / 1024:.1f} MB, {descriptors} descriptors")
         faults = []
-        if largest > MEMORY_MB * 1024:
-            faults.append(f"{node.name}: {largest / 1024:.1f} MB of memory, allowed {MEMORY_MB}")
+        allowed = get_memory_mb(self.form)
+        if largest > allowed * 1024:
+            faults.append(f"{node.name}: {largest / 1024:.1f} MB of memory, allowed {allowed}")
         if descriptors > DESCRIPTORS:
             faults.append(f"{node.name}: {descriptors} descriptors, allowed {DESCRIPTORS}")
         return faults
@@ -224,7 +232,7 @@
     with tempfile.TemporaryDirectory() as folder:
         checkout = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "..")
         fleet = Fleet(Record(), folder, checkout, program, 1, zones=1)
-        fleet.limits = {"memory_mb": MEMORY_MB, "connections": CONNECTIONS}
+        fleet.limits = {"memory_mb": get_memory_mb(form), "connections": CONNECTIONS}
         try:
             await fleet.start()
             return await Play(fleet, form, hops).run()
@@ -236,7 +244,7 @@
 def main():
     parser = argparse.ArgumentParser(description="Plays clients that keep no limit.")
     parser.add_argument("--program", required=True, help="path of fuchsiagauged")
-    parser.add_argument("--form", required=True, choices=list(FORMS) + ["mixed"])
+    parser.add_argument("--form", required=True, choices=list(FORMS) + ["mixed", "largest"])
     parser.add_argument("--hops", required=True, choices=HOPS)
     arguments = parser.parse_args()
     hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
--- a/transport/call.h
+++ b/transport/call.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "transport/message_body.h"
+
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -53,7 +55,7 @@
     std::string method;
     std::string target; ///< Path and query.
     header_fields fields; ///< Without hop-by-hop fields and Content-Length.
-    std::string body;
+    message_body body;
 
     /// @return the path without the query.
     std::string getPath() const { return target.substr(0, target.find('?')); }
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -3,7 +3,10 @@
 #include "core/address.h"
 #include "core/clock.h"
 #include "core/traffic_rules.h"
+#include "transport/connection_budget.h"
 #include "transport/incoming_call.h"
+#include "transport/memory_account.h"
+#include "transport/receive_limits.h"
 #include "transport/receive_memory.h"
 
 #include <boost/asio/io_context.hpp>
@@ -24,6 +27,10 @@
     /// Receives one request, which must be answered or dropped.
     using call_hook = std::function<void(const std::shared_ptr<incoming_call>&)>;
 
+    /// Receives the reason for which a request was refused or a connection closed: `memory`, `slow-reader`,
+    /// `trailer`, `chunk-extension`, `chunks`, `body-idle`, `head-idle` or `connections`.
+    using refusal_hook = std::function<void(const char* reason)>;
+
     /// Creates a server that is not open yet.
     /// @param io runs the connections.
     /// @param time the node's clock.
@@ -51,6 +58,21 @@
     /// before open().
     void setMemory(std::shared_ptr<receive_memory> memory);
 
+    /// Sets the account of requests and responses; null: none. Replaces setMemory(). To be called before
+    /// open().
+    void setAccount(std::shared_ptr<memory_account> account);
+
+    /// Sets the limit on the connections of several servers; null: none. To be called before open().
+    void setBudget(std::shared_ptr<connection_budget> budget);
+
+    /// Sets the limits on the bodies of requests. They apply to the requests that follow.
+    void setReceiveLimits(const receive_limits& limits);
+
+    /// Sets the hooks that are called when a request is refused before it has been received.
+    /// @param onRefused receives the reason.
+    /// @param describeRefusal may add fields to a refusal for lack of memory.
+    void setRefusalHooks(refusal_hook onRefused, std::function<void(response_head&)> describeRefusal);
+
     /// Closes each connection from now on after its next response, once no further request is in progress on
     /// it.
     void beginClosing();
--- a/transport/incoming_call.cpp
+++ b/transport/incoming_call.cpp
@@ -9,14 +9,14 @@
 {
 }
 
-void incoming_call::respond(const response_head& head, const std::string& body)
+void incoming_call::respond(const response_head& head, std::string body)
 {
     if (m_isEnded)
         return;
     m_isEnded = true;
     m_isReady = true;
     m_head = head;
-    m_body = body;
+    m_body = std::move(body);
     m_onDisconnect = nullptr;
     const auto onReady = std::move(m_onReady);
     onReady();
--- a/transport/incoming_call.h
+++ b/transport/incoming_call.h
@@ -2,10 +2,12 @@
 
 #include "core/clock.h"
 #include "transport/call.h"
+#include "transport/memory_account.h"
 
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace fuchsiagauge {
 
@@ -26,7 +28,13 @@
     milliseconds getArrivalTime() const { return m_arrivedAt; }
 
     /// Sets the response. Only the first call of respond() or drop() has an effect.
-    void respond(const response_head& head, const std::string& body);
+    void respond(const response_head& head, std::string body);
+
+    /// Sets the memory that the request is accounted for, until the end of this object's life.
+    void setCharge(memory_charge charge) { m_charge = std::move(charge); }
+
+    /// @return the memory that the request is accounted for.
+    std::size_t getChargedBytes() const { return m_charge.getBytes(); }
 
     /// Closes the connection instead of sending a response.
     void drop();
@@ -56,6 +64,7 @@
     std::function<void()> m_onDisconnect;
     response_head m_head;
     std::string m_body;
+    memory_charge m_charge;
     bool m_isEnded = false;
     bool m_isReady = false;
     bool m_isDropped = false;
--- a/transport/message_parser.h
+++ b/transport/message_parser.h
@@ -3,6 +3,7 @@
 // Include only from source files of the HTTP layer, since Beast is slow to compile.
 
 #include "transport/call.h"
+#include "transport/receive_limits.h"
 
 #include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
@@ -43,6 +44,29 @@
     /// A status line stands within the head: an unfinished head goes on with another response. Parsing ends
     /// with an error.
     bool hasSecondStatusLine = false;
+    receive_limits limits; ///< Requests only.
+    const char* exceededLimit = nullptr; ///< Which of `limits` has ended parsing; null if none has.
+
+    /// @return the memory that the message takes. Pages of a large body that have not been written don't
+    /// count.
+    std::size_t getMemory() const
+    {
+        constexpr std::size_t smallBytes = 131072;
+        return method.size() + target.size() + m_fieldBytes
+            + std::min(body.capacity(), std::max(body.size(), smallBytes));
+    }
+
+    /// @return whether the body is not a small one by its length, or by what has arrived if it has none.
+    bool isLargeBody() const
+    {
+        constexpr std::size_t smallBytes = 65536;
+        constexpr std::size_t smallUnknownBytes = 16384;
+        if (!this->is_header_done())
+            return false;
+        if (const auto length = this->content_length())
+            return *length > smallBytes;
+        return body.size() > smallUnknownBytes;
+    }
 
 private:
     void on_request_impl(boost::beast::http::verb /*verb*/, string_view methodText, string_view targetText,
@@ -62,8 +86,12 @@
     void on_field_impl(
         boost::beast::http::field name, string_view nameText, string_view value, error_code& code) override
     {
-        if (this->is_header_done()) // A trailer can't change what the head has told.
+        if (this->is_header_done()) { // A trailer can't change what the head has told.
+            m_trailerBytes += nameText.size() + value.size();
+            if (isRequest && m_trailerBytes > limits.trailerBytes)
+                rejectBeyond("trailer", code);
             return;
+        }
         if (!isRequest && containsStatusLine(value)) {
             rejectSecondStatusLine(code);
             return;
@@ -73,6 +101,7 @@
         if (name == boost::beast::http::field::expect)
             expectsContinue = true;
         std::string text(nameText);
+        m_fieldBytes += sizeof(header_field) + nameText.size() + value.size();
         if (!isHopByHopField(text))
             fields.add(std::move(text), std::string(value));
     }
@@ -93,9 +122,15 @@
         return chunk.size();
     }
 
-    void on_chunk_header_impl(
-        std::uint64_t /*size*/, string_view /*extensions*/, error_code& /*code*/) override
+    void on_chunk_header_impl(std::uint64_t size, string_view extensions, error_code& code) override
     {
+        ++m_chunkCount;
+        if (!isRequest)
+            return;
+        if (extensions.size() > limits.chunkExtensionBytes)
+            rejectBeyond("chunk-extension", code);
+        else if (!limits.mayHaveChunks(m_chunkCount, body.size() + size))
+            rejectBeyond("chunks", code);
     }
 
     std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, string_view chunk, error_code& code) override
@@ -129,6 +164,12 @@
         code = boost::beast::http::error::bad_value;
     }
 
+    void rejectBeyond(const char* limit, error_code& code)
+    {
+        exceededLimit = limit;
+        code = boost::beast::http::error::bad_chunk;
+    }
+
     void readKeepAlive(const std::string& value)
     {
         const std::string key = "timeout=";
@@ -136,6 +177,10 @@
         if (position != std::string::npos)
             keepAliveSeconds = std::atoi(value.c_str() + position + key.size());
     }
+
+    std::size_t m_fieldBytes = 0;
+    std::size_t m_trailerBytes = 0;
+    std::uint64_t m_chunkCount = 0;
 };
 
 } // namespace fuchsiagauge
--- a/transport/message_text.cpp
+++ b/transport/message_text.cpp
@@ -34,10 +34,10 @@
 
 } // namespace
 
-std::string formatRequest(const call_request& request)
+std::string formatRequestHead(const call_request& request, std::size_t followingBytes)
 {
     std::string text;
-    text.reserve(typicalHeadBytes + request.body.size());
+    text.reserve(typicalHeadBytes + followingBytes);
     text += request.method;
     text += ' ';
     text += request.target;
@@ -46,7 +46,6 @@
     if (!request.body.empty() || isBodyExpected(request.method))
         appendLength(text, request.body.size());
     text += "\r\n";
-    text += request.body;
     return text;
 }
 
--- a/transport/message_text.h
+++ b/transport/message_text.h
@@ -2,12 +2,14 @@
 
 #include "transport/call.h"
 
+#include <cstddef>
 #include <string>
 
 namespace fuchsiagauge {
 
-/// @return the bytes of a request with its body, as sent on a persistent connection.
-std::string formatRequest(const call_request& request);
+/// @param followingBytes bytes that the caller appends.
+/// @return the head of a request, as sent on a persistent connection.
+std::string formatRequestHead(const call_request& request, std::size_t followingBytes);
 
 /// Properties of a response that follow from its request and its connection.
 struct response_framing {
--- a/transport/pooled_http_client.cpp
+++ b/transport/pooled_http_client.cpp
@@ -22,6 +22,8 @@
     using response_parser = message_parser<false>;
 
     constexpr std::size_t readBufferBytes = 8192;
+    /// A body up to this size is sent in one write with its head.
+    constexpr std::size_t joinedBodyBytes = 16384;
     constexpr std::size_t maxHeaderBytes = 65536;
     /// Largest unfinished header section, chunk header or trailer section. The parser does not limit them
     /// all.
@@ -57,6 +59,8 @@
     void connect();
     void onConnected(const boost::system::error_code& code);
     void sendRequest();
+    void writeUnsent(boost::system::error_code& code);
+    bool isSent() const;
     void onWritable(boost::system::error_code code);
     void read();
     void onRead(const boost::system::error_code& code, std::size_t count);
@@ -82,9 +86,9 @@
     outgoing_request m_request;
     result_hook m_onResult;
     std::unique_ptr<response_parser> m_parser;
-    std::array<char, readBufferBytes> m_readBuffer;
     std::deque<carried_request> m_carriedRequests;
-    std::string m_unsent; ///< Bytes of the request that have not been sent yet.
+    std::string m_text; ///< Head of the request, with its body if that is small.
+    std::size_t m_sentBytes = 0; ///< Of the head and the body.
     std::string m_unparsed; ///< Incomplete response head or chunk header received so far.
     std::size_t m_accountedBytes = 0; ///< Bytes of the body that `receive_memory` knows of.
     int m_skippedMessages = 0;
@@ -92,6 +96,7 @@
     milliseconds m_idleSince;
     milliseconds m_idleLimit { 1e9 };
     std::uint64_t m_callNumber = 0;
+    bool m_isBodyJoined = true; ///< The body is part of `m_text`.
     bool m_isConnected = false;
     bool m_isReading = false;
     bool m_isBusy = false;
@@ -149,6 +154,8 @@
     std::unordered_set<std::shared_ptr<connection>> connections;
     std::vector<std::shared_ptr<connection>> idle; ///< The most recently used one is last.
     std::size_t openCallCount = 0;
+    /// Shared by the connections, as each reads only when bytes have arrived and parses them at once.
+    std::array<char, readBufferBytes> readBuffer;
 };
 
 pooled_http_client::connection::connection(
@@ -170,7 +177,12 @@
 {
     m_request = std::move(request);
     m_onResult = std::move(onResult);
-    m_unsent = formatRequest(m_request.request);
+    const auto& body = m_request.request.body;
+    m_isBodyJoined = body.size() <= joinedBodyBytes;
+    m_text = formatRequestHead(m_request.request, m_isBodyJoined ? body.size() : 0);
+    if (m_isBodyJoined)
+        m_text += body.getText();
+    m_sentBytes = 0;
     m_isBusy = true;
     ++m_callNumber;
     m_hasSent = false;
@@ -228,7 +240,7 @@
 void pooled_http_client::connection::sendRequest()
 {
     boost::system::error_code code;
-    const auto written = writeNonBlocking(m_socket, m_unsent.data(), m_unsent.size(), code);
+    writeUnsent(code);
     if (code) {
         asio::post(m_owner->io, [self = shared_from_this(), message = code.message()] {
             if (!self->m_isClosed && self->m_isBusy)
@@ -236,10 +248,8 @@
         });
         return;
     }
-    m_hasSent = m_hasSent || written > 0;
-    m_unsent.erase(0, written);
     read();
-    if (m_unsent.empty())
+    if (isSent())
         return;
     m_socket.async_wait(
         tcp::socket::wait_write, [self = shared_from_this()](const boost::system::error_code& waitCode) {
@@ -248,6 +258,25 @@
         });
 }
 
+/// Writes the head, then a body that is not joined to it, as far as the socket takes them.
+void pooled_http_client::connection::writeUnsent(boost::system::error_code& code)
+{
+    if (m_sentBytes < m_text.size())
+        m_sentBytes
+            += writeNonBlocking(m_socket, m_text.data() + m_sentBytes, m_text.size() - m_sentBytes, code);
+    const auto& body = m_request.request.body;
+    if (!code && !m_isBodyJoined && m_sentBytes >= m_text.size()) {
+        const auto sent = m_sentBytes - m_text.size();
+        m_sentBytes += writeNonBlocking(m_socket, body.data() + sent, body.size() - sent, code);
+    }
+    m_hasSent = m_hasSent || m_sentBytes > 0;
+}
+
+bool pooled_http_client::connection::isSent() const
+{
+    return m_sentBytes == m_text.size() + (m_isBodyJoined ? 0 : m_request.request.body.size());
+}
+
 void pooled_http_client::connection::onWritable(boost::system::error_code code)
 {
     if (code)
@@ -261,12 +290,18 @@
     if (m_isReading || m_isClosed)
         return;
     m_isReading = true;
-    m_socket.async_read_some(asio::buffer(m_readBuffer),
-        [self = shared_from_this()](const boost::system::error_code& code, std::size_t count) {
-            self->m_isReading = false;
-            if (!self->m_isClosed)
-                self->onRead(code, count);
-        });
+    m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](boost::system::error_code code) {
+        self->m_isReading = false;
+        if (self->m_isClosed)
+            return;
+        std::size_t count = 0;
+        if (!code)
+            count = self->m_socket.read_some(asio::buffer(self->m_owner->readBuffer), code);
+        if (code == asio::error::would_block || code == asio::error::try_again)
+            self->read();
+        else
+            self->onRead(code, count);
+    });
 }
 
 void pooled_http_client::connection::onRead(const boost::system::error_code& code, std::size_t count)
@@ -280,10 +315,10 @@
         return;
     }
     if (m_unparsed.empty()) {
-        const auto used = parse(m_readBuffer.data(), count);
-        m_unparsed.assign(m_readBuffer.data() + used, count - used);
+        const auto used = parse(m_owner->readBuffer.data(), count);
+        m_unparsed.assign(m_owner->readBuffer.data() + used, count - used);
     } else {
-        m_unparsed.append(m_readBuffer.data(), count);
+        m_unparsed.append(m_owner->readBuffer.data(), count);
         const auto used = parse(m_unparsed.data(), m_unparsed.size());
         m_unparsed.erase(0, used);
     }
@@ -298,7 +333,7 @@
 {
     if (m_unparsed.size() > maxUnparsedBytes)
         return false;
-    const auto bodyBytes = m_parser->body.size();
+    const auto bodyBytes = m_parser->body.size() + m_unparsed.size();
     const auto& memory = m_owner->limits.memory;
     if (!memory || bodyBytes <= m_accountedBytes)
         return true;
@@ -413,8 +448,10 @@
         result.head.contentLength = *length;
     result.body = std::move(m_parser->body);
     releaseMemory();
+    const bool isReusable = m_parser->keep_alive() && isSent() && !m_hasUnrequestedData;
     result.request = std::move(m_request.request);
-    const bool isReusable = m_parser->keep_alive() && m_unsent.empty() && !m_hasUnrequestedData;
+    m_text = {};
+    m_sentBytes = 0;
     if (m_parser->keepAliveSeconds >= 0)
         m_idleLimit = milliseconds(m_parser->keepAliveSeconds * msPerSecond * keepAliveShare);
     const auto onResult = std::move(m_onResult);
