--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -95,7 +95,7 @@
     sendBytes(
         "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n");
     runUntil([&] { return calls.size() == 1; });
-    STRCMP_EQUAL("abcde", calls[0]->getRequest().body.c_str());
+    STRCMP_EQUAL("abcde", calls[0]->getRequest().body.getText().c_str());
     CHECK(calls[0]->getRequest().fields.find("transfer-encoding") == nullptr);
 }
 
--- a/transport/message_body.h
+++ b/transport/message_body.h
@@ -27,7 +27,6 @@
         return m_text ? *m_text : empty;
     }
     const char* data() const { return getText().data(); }
-    const char* c_str() const { return getText().c_str(); }
     std::size_t size() const { return getText().size(); }
     bool empty() const { return getText().empty(); }
 
