--- a/core/event_log.cpp
+++ b/core/event_log.cpp
@@ -24,7 +24,8 @@
         "platform-restored", "watch-replaced", "reading-changed", "key-freshness-changed", "entry-ignored",
         "instance-changed", "instance-avoided", "request-refused", "request-failed", "request-repeated",
         "request-asked-again", "request-cancelled", "request-spilled", "limit-changed", "fill-changed",
-        "gate-refused", "instance-failed", "pause-detected", "quota-coordinator", "request-served" };
+        "gate-refused", "instance-failed", "pause-detected", "quota-coordinator", "client-refused",
+        "request-served" };
     static_assert(eventNames.size() == static_cast<std::size_t>(event_kind::Count));
 
 } // namespace
--- a/core/event_log.h
+++ b/core/event_log.h
@@ -41,6 +41,7 @@
     InstanceFailed, ///< The instance of this node did not respond to a request or did not run it.
     PauseDetected, ///< The process was suspended or not scheduled for too long.
     QuotaCoordinatorChanged, ///< Another node lends shares of the organisations' limits.
+    ClientRefused, ///< A request was refused, or a connection closed, before the request had been received.
     RequestServed, ///< The request ended without a server error; logged only at level debug.
     Count,
 };
--- a/mesh/inbound_call.cpp
+++ b/mesh/inbound_call.cpp
@@ -66,7 +66,7 @@
             result.head.fields.add(peer_header::capacity, formatCapacities(result.capacities));
         if (result.isInstanceLeaving)
             result.head.fields.add(peer_header::leaving, "1");
-        incoming.respond(result.head, result.body);
+        incoming.respond(result.head, std::move(result.body));
     }
 
 } // namespace
--- a/mesh/mesh_counters.cpp
+++ b/mesh/mesh_counters.cpp
@@ -41,6 +41,14 @@
     , proofAge(registry.getGauge("fuchsiagauge_mesh_proof_age_seconds",
           "Time since the configuration was last proved current; 1000000 if it was not, 0 if "
           "platform.revoke_s is not set."))
+    , heldRequestBytes(registry.getGauge("fuchsiagauge_mesh_held_request_bytes",
+          "Memory of requests, from their first byte to their response."))
+    , heldResponseBytes(registry.getGauge("fuchsiagauge_mesh_held_response_bytes",
+          "Memory of responses, until their clients have read them."))
+    , waitingReaders(registry.getGauge(
+          "fuchsiagauge_mesh_paused_connections", "Connections that are not read for lack of memory."))
+    , connections(
+          registry.getGauge("fuchsiagauge_mesh_connections", "Incoming connections on all listeners."))
     , m_registry(registry)
 {
 }
@@ -124,4 +132,15 @@
         .set(work.getCount());
 }
 
+void mesh_counters::countClientRefusal(const std::string& reason)
+{
+    auto& counter = m_clientRefusals[reason];
+    if (!counter) {
+        counter = &m_registry.getCounter("fuchsiagauge_mesh_clients_refused_total",
+            "Requests refused and connections closed before the request had been received, by limit.",
+            { { "reason", reason } });
+    }
+    counter->add();
+}
+
 } // namespace fuchsiagauge
--- a/mesh/mesh_counters.h
+++ b/mesh/mesh_counters.h
@@ -36,6 +36,11 @@
     /// Sets the learned work that one request of a route needs of a service further down.
     void setTreeDemand(const std::string& route, const std::string& service, milliseconds work);
 
+    /// Counts a request that was refused, or a connection that was closed, before the request had been
+    /// received.
+    /// @param reason limit that was reached, such as `memory`.
+    void countClientRefusal(const std::string& reason);
+
     metric_counter& retries; ///< Requests retried after an instance may have seen them.
     metric_counter& localRetries; ///< Requests sent to the local instance again after it refused them.
     metric_counter& zoneSpillovers; ///< Requests sent to another availability zone of the same region.
@@ -57,6 +62,10 @@
     metric_gauge& isConnected;
     metric_gauge& replicaRevision;
     metric_gauge& proofAge; ///< Since the items were proved current, in seconds; 0 if keys are not limited.
+    metric_gauge& heldRequestBytes; ///< Of requests, from their first byte to their response.
+    metric_gauge& heldResponseBytes; ///< Of responses, until their clients have read them.
+    metric_gauge& waitingReaders; ///< Connections that are not read for lack of memory.
+    metric_gauge& connections; ///< Incoming ones, on all listeners.
 
 private:
     metrics_registry& m_registry;
@@ -64,6 +73,7 @@
     std::map<std::string, latency_distribution*> m_latencies;
     std::map<std::string, metric_counter*> m_attempts;
     quota_agent::statistics m_quota; ///< As last written to the metrics.
+    std::map<std::string, metric_counter*> m_clientRefusals;
 };
 
 } // namespace fuchsiagauge
