--- a/mesh/quota_transport.cpp
+++ b/mesh/quota_transport.cpp
@@ -31,7 +31,7 @@
 
 bool isQuotaMessage(const call_request& request) { return request.fields.find(senderField) != nullptr; }
 
-void serveQuotaMessage(quota_agent& quota, clock time, const std::shared_ptr<incoming_call>& incoming)
+void serveQuotaMessage(quota_agent& quota, const clock& time, const std::shared_ptr<incoming_call>& incoming)
 {
     const auto& request = incoming->getRequest();
     const auto sender = request.fields.get(senderField);
@@ -53,7 +53,7 @@
     incoming->respond(head, encodeQuotaAnswer(quota.handleReport(time.now(), sender, *report)));
 }
 
-void sendQuotaReport(peer_pools& pools, clock time, const std::string& self, const address& peer,
+void sendQuotaReport(peer_pools& pools, const clock& time, const std::string& self, const address& peer,
     const quota_report& report, milliseconds timeout, quota_agent::answer_hook onAnswer)
 {
     pools.get(peer).send(makeRequest(reportPath, self, peer, encodeQuotaReport(report), time.now() + timeout),
@@ -63,7 +63,7 @@
         });
 }
 
-void sendQuotaCall(peer_pools& pools, clock time, const std::string& self, const address& peer,
+void sendQuotaCall(peer_pools& pools, const clock& time, const std::string& self, const address& peer,
     const quota_answer& call, milliseconds timeout)
 {
     pools.get(peer).send(makeRequest(callPath, self, peer, encodeQuotaAnswer(call), time.now() + timeout),
--- a/policy/quota_coordinator.cpp
+++ b/policy/quota_coordinator.cpp
@@ -207,7 +207,8 @@
     result.share = findTarget(now, owner, entry);
     const auto before = entry.latestGrantUntil > now ? entry.latestGrant : 0;
     if (result.share > before && owner.getFree() > 0 && owner.tokens > 0) {
-        const double part = std::min(1.0, static_cast<double>(result.share - before) / owner.getFree());
+        const double part = std::min(
+            1.0, static_cast<double>(result.share - before) / static_cast<double>(owner.getFree()));
         result.credit = static_cast<std::uint32_t>(owner.tokens * part * creditUnit);
         owner.tokens -= result.credit / creditUnit;
     }
