--- a/tests/mesh/organisation_test.cpp
+++ b/tests/mesh/organisation_test.cpp
@@ -3,7 +3,9 @@
 
 #include <array>
 #include <boost/asio/write.hpp>
+#include <cstdio>
 #include <string>
+#include <unistd.h>
 
 #include <CppUTest/TestHarness.h>
 
@@ -120,6 +122,39 @@
     STRCMP_EQUAL("acme", callee->received[1].fields.get("Tenant").c_str());
 }
 
+// A key in a log line, an error or a metric would let its readers act as the organisation.
+TEST(mesh_organisation, showsNoKeyInAnyOutput)
+{
+    mesh.publishRules(makeRules(2, "secret-known"));
+    std::FILE* output = std::tmpfile();
+    const int before = dup(STDOUT_FILENO);
+    dup2(fileno(output), STDOUT_FILENO);
+    std::string shown;
+    const auto show = [&](const fuchsiagauge::outgoing_result& result) {
+        shown += result.body;
+        for (const auto& field : result.head.fields.getAll())
+            shown += field.name + field.value;
+    };
+    int count = 0;
+    for (const char* key : { "secret-known", "secret-unknown", "secret-known,secret-unknown" }) {
+        for (const char* path : { "/x", "/open/x", "/front/x" })
+            show(mesh.await(mesh.send(*entry, std::to_string(++count), path, { { "Api-Key", key } })));
+    }
+    callee->handler = test_mesh::makeDroppingHandler();
+    show(mesh.await(mesh.send(*entry, "lost", "/x", { { "Api-Key", "secret-known" } })));
+    entry->node->reportInvalidRules("organisation acme: the limit is no number from 0 on");
+    shown += mesh.fetchAdmin(*entry, "/metrics").body;
+    dup2(before, STDOUT_FILENO);
+    close(before);
+    std::rewind(output);
+    std::array<char, 4096> bytes {};
+    while (const auto size = std::fread(bytes.data(), 1, bytes.size(), output))
+        shown.append(bytes.data(), size);
+    std::fclose(output);
+    CHECK(shown.find("unknown-key") != std::string::npos);
+    CHECK(shown.find("secret") == std::string::npos);
+}
+
 // Without organisations nothing changes: the fields belong to the clients then.
 TEST(mesh_organisation, forwardsTheFieldsWithoutOrganisations)
 {
