policy: Let a new process use its share of a limit at once if the operators tolerate an overshoot

Change: with quotas.overshoot the own share counts from the start. Half of the tolerance is kept for this and for differing views.

Result: two tests in virtual time, the tolerated limit kept with 55 in 100 nodes restarting together four times, 0.9 of the owed rate served once the nodes have a listing.

--- a/policy/quota_agent.cpp
+++ b/policy/quota_agent.cpp
@@ -52,6 +52,15 @@
 {
 }
 
+void quota_agent::setTolerance(const quota_tolerance& tolerance)
+{
+    m_tolerance = tolerance;
+    // What the process before may have lent ends within one lease. The unused half of the tolerance covers
+    // it, so that no requests are refused for that time.
+    if (tolerance.overshoot > 0)
+        m_ownUsableAt = m_startedAt;
+}
+
 void quota_agent::setRules(milliseconds now, const traffic_rules& rules)
 {
     std::vector<organisation> limits;
--- a/policy/quota_agent.h
+++ b/policy/quota_agent.h
@@ -55,7 +55,7 @@
     quota_agent(milliseconds now, std::string self, std::uint32_t process, hooks agentHooks);
 
     /// Sets by how much the limits may be exceeded. To be called before setRules().
-    void setTolerance(const quota_tolerance& tolerance) { m_tolerance = tolerance; }
+    void setTolerance(const quota_tolerance& tolerance);
 
     /// Adopts the limits of the rules.
     void setRules(milliseconds now, const traffic_rules& rules);
--- a/tests/policy/quota_fleet.cpp
+++ b/tests/policy/quota_fleet.cpp
@@ -98,6 +98,7 @@
         return;
     m_nodes[node].agent = std::make_unique<quota_agent>(
         m_now, makeHost(node), static_cast<std::uint32_t>(m_random()), makeHooks(node));
+    m_nodes[node].agent->setTolerance(tolerance);
     m_nodes[node].agent->setRules(m_now, m_rules);
 }
 
--- a/tests/policy/quota_fleet.h
+++ b/tests/policy/quota_fleet.h
@@ -51,6 +51,7 @@
 
     std::function<bool(std::size_t from, std::size_t to)> isCut; ///< May be empty.
     std::function<double()> extraDelayMs; ///< Added to each message; may be empty.
+    fuchsiagauge::quota_tolerance tolerance; ///< Of processes that start from then on.
     double largestShareSum = 0; ///< Of the shares in use of organisation `a` at all running nodes.
     bool areMessagesDoubled = false;
     std::vector<outcome> outcomes;
--- a/tests/policy/quota_test.cpp
+++ b/tests/policy/quota_test.cpp
@@ -306,6 +306,41 @@
     checkHardLimit();
 }
 
+// With a tolerance, restarted nodes use their own shares at once, although the others may still use what the
+// processes before have lent. 7 times the limit; 55 in 100 nodes restart together, the coordinator among
+// them.
+TEST(quota, keepsTheToleratedLimitWhileManyNodesRestart)
+{
+    fleet.tolerance = { 0.25, 20 };
+    for (std::size_t node = 0; node < fleetSize; ++node)
+        fleet.restart(node);
+    startOverload();
+    for (int round = 0; round < 4; ++round) {
+        fleet.run(4000);
+        for (std::size_t node = 0; node < fleetSize; ++node) {
+            if ((node * 7 + static_cast<std::size_t>(round)) % 20 < 11)
+                fleet.restart(node);
+        }
+    }
+    fleet.run(6000);
+    checkHardLimit();
+}
+
+// Owed requests of a fleet that restarts as a whole are served once the nodes have their listing, which the
+// model gives them each 500 ms.
+TEST(quota, admitsAtOnceAfterARestartOfAllNodesWithATolerance)
+{
+    fleet.tolerance = { 0.25, 20 };
+    startWithLimit(400, 400);
+    fleet.spreadLoad("a", 200);
+    fleet.run(5000);
+    for (std::size_t node = 0; node < fleetSize; ++node)
+        fleet.restart(node);
+    const auto listedAt = fleet.getNow() + 500;
+    fleet.run(4000);
+    CHECK(fleet.getAdmittedPerSecond("a", listedAt) >= 0.9 * 200);
+}
+
 TEST(quota, appliesALowerAndAHigherLimit)
 {
     startOverload();
