--- a/client/place_command.cpp
+++ b/client/place_command.cpp
@@ -75,9 +75,10 @@
                          : "refused with " + formatValue(admission.at("status")) + ": "
                            + formatValue(admission.at("reason")))
             << ", quota "
-            << (quota.is_null()
-                       ? "none"
-                       : formatValue(quota.at("rate_per_s")) + "/s, burst " + formatValue(quota.at("burst")))
+            << (quota.is_null() ? "none"
+                                : formatValue(quota.at("rate_per_s")) + "/s, burst "
+                           + formatValue(quota.at("burst")) + ", share of this node "
+                           + formatValue(quota.value("usable_share", nlohmann::json())))
             << '\n';
         for (const auto& service : report.at("services")) {
             const auto& chosen = service.at("chosen");
--- a/mesh/placement_report.cpp
+++ b/mesh/placement_report.cpp
@@ -119,6 +119,8 @@
             if (rules.hasOrganisations() && !route->isAnonymous && !isKnown)
                 return { unauthorizedStatus,
                     query.organisation.empty() ? "the route asks for a key" : "unknown organisation" };
+            if (rules.hasOrganisations() && !route->isAnonymous && !context.mayUseKeys())
+                return { unavailableStatus, "the rules are not proved current" };
             if (context.endsAt)
                 return { unavailableStatus, "the node is stopping" };
             return { okStatus, "" };
@@ -128,12 +130,14 @@
             { "local_entry_share", context.target.getEntryShare(priority) } };
     }
 
-    json describeQuota(const traffic_rules& rules, const std::string& organisation)
+    json describeQuota(const mesh_context& context, const std::string& organisation)
     {
+        const auto& rules = *context.rules;
         const auto found = rules.organisations.find(organisation);
         if (found == rules.organisations.end() || found->second.ratePerSecond <= 0)
             return nullptr;
-        return { { "rate_per_s", found->second.ratePerSecond }, { "burst", found->second.burst } };
+        return { { "rate_per_s", found->second.ratePerSecond }, { "burst", found->second.burst },
+            { "usable_share", context.quota.getUsableShare(context.time.now(), organisation) } };
     }
 
     json describeInstance(const instance_placement& item, milliseconds now)
@@ -153,8 +157,9 @@
             result["load"] = { { "age_ms", item.reportAge->getCount() }, { "busy", load.busy },
                 { "waiting", load.waiting }, { "usable_slots", load.slots },
                 { "slots", load.isFilling() ? load.fullSlots : load.slots },
-                { "service_ms", load.serviceTime.getCount() }, { "rejected_share", load.rejectedShare },
-                { "limit_per_s", nullptr } };
+                { "service_ms", load.serviceTime.getCount() },
+                { "slowdown", load.pace.getExpected(*item.reportAge) },
+                { "rejected_share", load.rejectedShare }, { "limit_per_s", nullptr } };
             if (load.rateLimit)
                 result["load"]["limit_per_s"] = *load.rateLimit;
         }
@@ -194,7 +199,7 @@
     json report { { "node", context.config.node }, { "zone", context.config.location.zone },
         { "route", route ? json(route->name) : json() }, { "method", query->method }, { "size", query->size },
         { "organisation", query->organisation }, { "admission", describeAdmission(context, *query, route) },
-        { "quota", describeQuota(*context.rules, query->organisation) }, { "services", json::array() } };
+        { "quota", describeQuota(context, query->organisation) }, { "services", json::array() } };
     call_route direct; // For a service to which no route leads.
     std::vector<route_destination> destinations;
     if (!query->service.empty())
--- a/policy/quota_agent.cpp
+++ b/policy/quota_agent.cpp
@@ -83,6 +83,15 @@
     updateOwnShare(now);
 }
 
+double quota_agent::getUsableShare(milliseconds now, const std::string& organisation) const
+{
+    const auto found = std::find_if(
+        m_limits.begin(), m_limits.end(), [&](const auto& limit) { return limit.name == organisation; });
+    return found == m_limits.end()
+        ? 0
+        : m_share.getUsableShare(now, static_cast<std::size_t>(std::distance(m_limits.begin(), found)));
+}
+
 void quota_agent::setNodes(milliseconds now, std::vector<std::string> hosts, bool isRefreshed)
 {
     observe(now);
--- a/policy/quota_agent.h
+++ b/policy/quota_agent.h
@@ -89,6 +89,9 @@
 
     const statistics& getStatistics() const { return m_statistics; }
     const std::string& getCoordinator() const { return m_chosen; }
+    /// @return the share of an organisation's limit that this node may use now, 0 to 1; 0 if it has no limit.
+    double getUsableShare(milliseconds now, const std::string& organisation) const;
+
     double getLentShare(milliseconds now) const { return m_share.getLentShare(now); }
     double getBorrowedShare(milliseconds now) const { return m_share.getBorrowedShare(now); }
     double getGrantedShare() const { return m_coordinator.getGrantedShare(); }
