--- a/tests/policy/quota_fleet.cpp
+++ b/tests/policy/quota_fleet.cpp
@@ -29,7 +29,7 @@
 {
     quota_agent::hooks hooks;
     hooks.sendReport = [this, index](const std::string& host, const quota_report& report,
-                           milliseconds timeout, quota_agent::answer_hook onAnswer) {
+                           milliseconds timeout, const quota_agent::answer_hook& onAnswer) {
         ++messageCount;
         const auto to = findNode(host);
         const auto isAnswered = std::make_shared<bool>(false);
@@ -65,7 +65,7 @@
 
 std::size_t quota_fleet::findNode(const std::string& host) const { return m_hosts.at(host); }
 
-void quota_fleet::deliver(std::size_t from, std::size_t to, std::function<void()> action)
+void quota_fleet::deliver(std::size_t from, std::size_t to, const std::function<void()>& action)
 {
     if (isCut && isCut(from, to))
         return;
--- a/tests/policy/quota_fleet.h
+++ b/tests/policy/quota_fleet.h
@@ -66,7 +66,7 @@
     };
 
     std::size_t findNode(const std::string& host) const;
-    void deliver(std::size_t from, std::size_t to, std::function<void()> action);
+    void deliver(std::size_t from, std::size_t to, const std::function<void()>& action);
     void runOn(std::size_t node, std::function<void()> action);
     void tickNodes();
     void recordShares();
--- a/tests/transport/memory_account_test.cpp
+++ b/tests/transport/memory_account_test.cpp
@@ -144,7 +144,7 @@
         run(1, 65536);
     }
     CHECK_FALSE(slow->isGivenUp);
-    CHECK_EQUAL(512U * 1024, slow->bytes);
+    CHECK_EQUAL(static_cast<std::size_t>(512) * 1024, slow->bytes);
 }
 
 // Requests that only wait because they are not read are not stalled; the one that began last is given up.
