transport: Decide between equal holders of memory by the order of their first reads

Cause: memory_account, keepsASlowUploadAndGivesUpStoppedOnes failed once in five whole runs of the tests (520,192 of 524,288 bytes). Holders with the same times were taken in the order of their addresses, so which of them was resumed or given up first differed between processes.

Change: a sequence number decides between them. The check and its figures are unchanged.

--- a/transport/memory_account.cpp
+++ b/transport/memory_account.cpp
@@ -1,6 +1,7 @@
 #include "transport/memory_account.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace fuchsiagauge {
 namespace {
@@ -45,6 +46,8 @@
 
 bool memory_account::mayRead(memory_holder& holder, milliseconds now)
 {
+    if (holder.m_sequence == 0)
+        holder.m_sequence = ++m_lastSequence;
     if (fits(holder))
         return true;
     if (!holder.m_isWaiting) {
@@ -122,8 +125,9 @@
         if (fits(*holder))
             resumed.push_back(holder);
     }
-    std::sort(resumed.begin(), resumed.end(),
-        [](const auto* a, const auto* b) { return a->m_waitingSince < b->m_waitingSince; });
+    std::sort(resumed.begin(), resumed.end(), [](const auto* a, const auto* b) {
+        return std::tie(a->m_waitingSince, a->m_sequence) < std::tie(b->m_waitingSince, b->m_sequence);
+    });
     for (auto* holder : resumed) {
         // An earlier one of these may have closed its connection.
         if (m_waiting.erase(holder) == 0)
@@ -141,7 +145,9 @@
     memory_holder* found = nullptr;
     for (auto* holder : holders) {
         if (!holder->m_isWaiting && now - holder->m_progressAt >= m_shares.stallTime
-            && (!found || holder->m_progressAt < found->m_progressAt))
+            && (!found
+                || std::tie(holder->m_progressAt, holder->m_sequence)
+                    < std::tie(found->m_progressAt, found->m_sequence)))
             found = holder;
     }
     return found;
@@ -151,7 +157,10 @@
 {
     memory_holder* found = nullptr;
     for (auto* holder : m_waiting) {
-        if (holder->m_bytes > 0 && (!found || holder->m_startedAt > found->m_startedAt))
+        if (holder->m_bytes > 0
+            && (!found
+                || std::tie(holder->m_startedAt, holder->m_sequence)
+                    > std::tie(found->m_startedAt, found->m_sequence)))
             found = holder;
     }
     return found;
--- a/transport/memory_account.h
+++ b/transport/memory_account.h
@@ -4,6 +4,7 @@
 #include "transport/receive_memory.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <unordered_set>
 #include <utility>
@@ -48,6 +49,8 @@
     milliseconds m_startedAt;
     milliseconds m_progressAt;
     milliseconds m_waitingSince;
+    std::uint64_t m_sequence
+        = 0; ///< Order of the first reads; decides between holders that are equal otherwise.
     bool m_isLarge = false;
     bool m_isWaiting = false;
 };
@@ -112,6 +115,7 @@
     memory_shares m_shares;
     std::shared_ptr<receive_memory> m_responses;
     std::size_t m_requestBytes = 0;
+    std::uint64_t m_lastSequence = 0;
     std::unordered_set<memory_holder*> m_receiving;
     std::unordered_set<memory_holder*> m_sending;
     std::unordered_set<memory_holder*> m_waiting; ///< Part of `m_receiving`, or holding nothing yet.
