transport: Keep a connection open until its last response is delivered

Cause: a response counted as done when the kernel had taken it. The connection was closed at the next byte from the client, or the process ended 300 ms later; the kernel then answers the client's next bytes with a reset and discards what the client has not received yet.

Change: after its last response a connection lingers: it discards what the client sends until the client closes. It ends without the client if that takes no data for the send timeout, or has received everything and does not close within 1 s. SIOCOUTQ tells what has not been acknowledged. Timeouts and the connection limit spare connections with undelivered responses, and a planned stop waits for them until its latest time.

Ruled out: the send timeout and the memory account; neither had acted, and the same requests without the stop are answered.

--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -35,8 +35,7 @@
     /// ends before the process is killed: at the later of these times.
     constexpr double usableGraceShare = 0.92;
     constexpr milliseconds exitTime { 250 };
-    /// Time in which clients and peers may close their connections after the node has shut them down. Closing
-    /// them at once could discard the end of a response that is still on its way.
+    /// Time in which clients and peers may close idle connections after the node has shut them down.
     constexpr milliseconds maxConnectionShutdownTime { 300 };
     /// Share of the descriptors that incoming connections may take.
     constexpr double incomingDescriptorShare = 0.75;
@@ -634,13 +633,20 @@
             peersServer.shutDown();
         }
     }
+    if (isShuttingDown) {
+        callersServer.tick();
+        peersServer.tick();
+    }
     const auto connections = callersServer.getConnectionCount() + peersServer.getConnectionCount();
-    const bool isDone
-        = isShuttingDown && (connections == 0 || now - shutdownStartedAt >= maxConnectionShutdownTime);
+    // The end of the process could discard a response that is still on its way.
+    const bool isLingering = callersServer.isLingering() || peersServer.isLingering();
+    const bool isDone = isShuttingDown && !isLingering
+        && (connections == 0 || now - shutdownStartedAt >= maxConnectionShutdownTime);
     if (!isDone && now < getEndTime())
         return;
     log.write(event_kind::NodeStopped, {},
-        { { "open", static_cast<double>(callersServer.getOpenCallCount()) }, { "ms", elapsed.getCount() } });
+        { { "open", static_cast<double>(callersServer.getOpenCallCount()) },
+            { "connections", static_cast<double>(connections) }, { "ms", elapsed.getCount() } });
     log.flush();
     const auto done = std::move(onStopped);
     onStopped = nullptr;
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -61,7 +61,8 @@
     return connections.size() >= maxConnections || (budget && budget->open >= budget->limit);
 }
 
-/// Closes the connection that has been idle for longest, if one is neither in use nor was so just before.
+/// Closes the connection that has been idle for longest, if one is neither in use nor was so just before. One
+/// whose client has not received its responses is in use.
 /// @return whether one was closed.
 bool http_server::state::closeIdlest()
 {
@@ -69,7 +70,8 @@
     std::shared_ptr<server_connection> found;
     for (const auto& entry : connections) {
         const bool isIdle = entry->isWithoutCall() && now - entry->getLastActiveTime() >= minIdleTime;
-        if (isIdle && (!found || entry->getLastActiveTime() < found->getLastActiveTime()))
+        const bool isIdlest = isIdle && (!found || entry->getLastActiveTime() < found->getLastActiveTime());
+        if (isIdlest && entry->isDelivered())
             found = entry;
     }
     if (!found)
@@ -173,6 +175,13 @@
         connections.begin(), connections.end(), [](const auto& entry) { return entry->isQuiet(); });
 }
 
+bool http_server::isLingering() const
+{
+    const auto& connections = m_state->connections;
+    return std::any_of(
+        connections.begin(), connections.end(), [](const auto& entry) { return entry->isLingering(); });
+}
+
 std::size_t http_server::getConnectionCount() const { return m_state->connections.size(); }
 
 std::size_t http_server::getOpenCallCount() const { return m_state->openCallCount; }
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -77,8 +77,8 @@
     /// it.
     void beginClosing();
 
-    /// Closes connections that have been idle for too long and those that stalled in the middle of a request.
-    /// Must be called regularly.
+    /// Closes connections that have been idle for too long, those that stalled in the middle of a request and
+    /// those whose clients don't close them after the last response. Must be called regularly.
     void tick();
 
     /// Stops accepting connections and closes the existing ones.
@@ -92,6 +92,9 @@
     /// no response partly sent.
     bool isDrained() const;
 
+    /// @return whether a client may still be receiving its last responses on a connection that is shut down.
+    bool isLingering() const;
+
     /// @return the number of open connections.
     std::size_t getConnectionCount() const;
 
--- a/transport/server_connection.cpp
+++ b/transport/server_connection.cpp
@@ -16,9 +16,6 @@
     constexpr std::size_t maxPipelinedRequests = 16;
     /// Responses buffered for a slow client. Above this, no further requests are read from its connection.
     constexpr std::size_t maxUnsentBytes = 1048576;
-    /// For which a refused client may go on sending before its connection is closed. Closing at once would
-    /// reset the connection and could discard the refusal.
-    constexpr milliseconds refusedReadTime { 1000 };
     /// A request that is forwarded has its head twice.
     constexpr std::size_t headCopies = 2;
     constexpr std::size_t copiedBodyBytes = 16384; ///< A body up to this size is sent from a copy.
@@ -54,24 +51,24 @@
 
 void server_connection::checkTimeouts(milliseconds now)
 {
-    if (m_isWaitingForMemory || !isWithoutCall())
-        return;
-    const auto idleFor = now - m_lastActiveAt;
-    if (m_isRefused) {
-        if (idleFor > refusedReadTime)
+    if (m_isShutDown) {
+        if (m_lingeringClose.isOver(countUnacknowledgedBytes(m_socket), m_owner->sendTimeout, now))
             close();
         return;
     }
+    if (m_isWaitingForMemory || !isWithoutCall())
+        return;
+    const auto idleFor = now - m_lastActiveAt;
     if (!m_parser->got_some()) {
         if (idleFor > m_owner->limits.idleTimeout)
-            close();
+            closeOnceDelivered();
         return;
     }
     const bool isInBody = m_parser->is_header_done();
     if (idleFor <= (isInBody ? m_owner->receiveLimits.bodyIdleTimeout : m_owner->limits.headerTimeout))
         return;
     m_owner->reportRefusal(isInBody ? "body-idle" : "head-idle");
-    close();
+    closeOnceDelivered();
 }
 
 void server_connection::applyLimits()
@@ -85,15 +82,29 @@
     return m_calls.empty() && m_unsent.empty() && m_unparsed.empty() && !m_parser->got_some();
 }
 
+bool server_connection::isDelivered() { return m_unsent.empty() && countUnacknowledgedBytes(m_socket) == 0; }
+
 void server_connection::shutDownSending()
 {
-    m_hasStoppedReading = true;
+    if (m_isShutDown || m_isClosed)
+        return;
+    stopReading();
+    m_lingers = m_closesAfterSend || !isDelivered();
     m_isShutDown = true;
+    m_lingeringClose.begin(m_owner->time.now());
     boost::system::error_code code;
     m_socket.shutdown(tcp::socket::shutdown_send, code);
     read();
 }
 
+void server_connection::closeOnceDelivered()
+{
+    if (isDelivered())
+        close();
+    else
+        shutDownSending();
+}
+
 void server_connection::close()
 {
     if (m_isClosed)
@@ -172,10 +183,21 @@
     read();
 }
 
-/// Reads on only to notice when the client disconnects.
+/// Ends the reading of requests and frees an incomplete one.
+void server_connection::stopReading()
+{
+    m_hasStoppedReading = true;
+    m_unparsed = {};
+    resetParser();
+    if (m_owner->account)
+        m_owner->account->endReceiving(m_receiving);
+}
+
+/// Reads on to notice when the client disconnects, and so that a request that was sent in the meantime does
+/// not reset the connection while the client is receiving its responses.
 void server_connection::discard()
 {
-    if (m_isShutDown && !m_isRefused)
+    if (m_isShutDown && !m_lingers)
         close();
     else
         read();
@@ -201,9 +223,9 @@
     if (!m_owner->account || m_isClosed)
         return;
     std::size_t bytes = m_unparsed.size();
-    if (!m_isRefused && m_parser->got_some())
+    if (m_parser->got_some())
         bytes += m_parser->getMemory();
-    m_receiving.setLarge(!m_isRefused && m_parser->isLargeBody());
+    m_receiving.setLarge(m_parser->isLargeBody());
     m_owner->account->updateReceiving(m_receiving, bytes, m_callBytes, receivedBytes, m_owner->time.now());
 }
 
@@ -223,7 +245,6 @@
         return;
     m_parser->exceededLimit = isTrailer ? "trailer" : "chunk-extension";
     rejectRequest(boost::beast::http::error::bad_chunk);
-    m_unparsed = {};
 }
 
 /// Frees the memory of the request that is being received, or closes a connection that is not read.
@@ -280,7 +301,7 @@
         if (code == boost::beast::http::error::need_more || count == 0)
             break;
     }
-    return used;
+    return m_hasStoppedReading ? size : used;
 }
 
 /// Sends `100 Continue` to a client that waits for it before sending its body, unless responses to earlier
@@ -313,14 +334,9 @@
 /// Answers a request that is not read completely. What its client still sends is discarded.
 void server_connection::refuse(const response_head& head, const std::string& text)
 {
-    m_hasStoppedReading = true;
-    m_isRefused = true;
-    resetParser();
+    stopReading();
     const auto call = addCall({}, 0);
     call->respond(head, text);
-    m_unparsed = {};
-    if (m_owner->account)
-        m_owner->account->endReceiving(m_receiving);
 }
 
 void server_connection::dispatchRequest()
--- a/transport/server_connection.h
+++ b/transport/server_connection.h
@@ -3,6 +3,7 @@
 // Include only from source files of the HTTP layer, since Beast is slow to compile.
 
 #include "transport/http_server.h"
+#include "transport/lingering_close.h"
 #include "transport/message_parser.h"
 #include "transport/socket_options.h"
 
@@ -74,7 +75,7 @@
     void start();
 
     /// Closes the connection if it has exceeded the idle timeout or, within a request, the header timeout or
-    /// the idle timeout of bodies.
+    /// the idle timeout of bodies, or if its client does not close it in time.
     void checkTimeouts(milliseconds now);
 
     /// Applies changed limits to the next request, unless a part of it has arrived.
@@ -86,12 +87,21 @@
     /// @return whether the client has neither a request in progress nor a response to read.
     bool isWithoutCall() const { return m_calls.empty() && m_unsent.empty(); }
 
+    /// @return whether the client's system has received all responses.
+    bool isDelivered();
+
+    /// @return whether no more is sent, but the client may still be receiving its last responses.
+    bool isLingering() const { return m_isShutDown && m_lingers; }
+
     milliseconds getLastActiveTime() const { return m_lastActiveAt; }
 
     /// Shuts down the sending direction and waits for the client before closing the connection, so that a
     /// connection reset does not discard data that was sent.
     void shutDownSending();
 
+    /// Closes the connection, or shuts it down if the client has not received all responses.
+    void closeOnceDelivered();
+
     void close();
 
 private:
@@ -115,6 +125,7 @@
     void resetParser();
     void read();
     void onReadable(boost::system::error_code code);
+    void stopReading();
     void handleBytes(std::size_t count);
     void discard();
     void accountForRequest(std::size_t receivedBytes);
@@ -150,12 +161,13 @@
     direction m_receiving { *this, false };
     direction m_sending { *this, true };
     milliseconds m_lastActiveAt;
+    lingering_close m_lingeringClose;
     bool m_isReading = false;
     bool m_isWaitingForMemory = false;
     bool m_isResumePosted = false;
-    bool m_hasStoppedReading = false; ///< No further requests are read from this connection.
-    bool m_isRefused = false; ///< What the client still sends is discarded.
+    bool m_hasStoppedReading = false; ///< What the client still sends is discarded.
     bool m_isShutDown = false; ///< Nothing more is sent.
+    bool m_lingers = false; ///< After the shutdown, the client may still be receiving responses.
     bool m_closesAfterSend = false;
     bool m_isClosed = false;
 };
--- a/transport/socket_options.cpp
+++ b/transport/socket_options.cpp
@@ -2,7 +2,9 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace fuchsiagauge {
 namespace {
@@ -40,4 +42,12 @@
     return written;
 }
 
+std::size_t countUnacknowledgedBytes(boost::asio::ip::tcp::socket& socket)
+{
+    int bytes = 0;
+    if (::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0 || bytes < 0)
+        return 0;
+    return static_cast<std::size_t>(bytes);
+}
+
 } // namespace fuchsiagauge
--- a/transport/socket_options.h
+++ b/transport/socket_options.h
@@ -25,4 +25,10 @@
 std::size_t writeNonBlocking(boost::asio::ip::tcp::socket& socket, const char* data, std::size_t size,
     boost::system::error_code& code);
 
+/// Tells whether the remote side has received what was written.
+/// @param socket an open socket.
+/// @return the bytes that were written and that the remote side has not acknowledged, including the end of
+/// the stream once the sending direction is shut down; 0 if the system does not tell.
+std::size_t countUnacknowledgedBytes(boost::asio::ip::tcp::socket& socket);
+
 } // namespace fuchsiagauge
