transport: Read no request behind a response that closes the connection

Cause: reading stopped when the last byte of that response had been written, not when the response was formed. While a slow client took its response, further requests of the connection were read and passed on, and their responses had no connection to go to.

Change: forming the last response ends reading and discards a part of a request that had been received. Such a part also counted as under way and held up the stop.

--- a/tests/transport/connection_end_test.cpp
+++ b/tests/transport/connection_end_test.cpp
@@ -226,6 +226,60 @@
     CHECK(readEnd == asio::error::eof);
 }
 
+// review/9: a request behind a response with `Connection: close` was passed on and never answered.
+TEST(connection_end, passesOnNoRequestBehindAResponseThatClosesTheConnection)
+{
+    sendRequest(get);
+    server.beginClosing();
+    calls[0]->respond(makeHead(), std::string(largerThanSocketBuffers, 'x'));
+    io.poll();
+    CHECK_FALSE(server.isDrained());
+    sendBytes(makeGet(2));
+    sendBytes(makeGet(3));
+    CHECK_EQUAL(1U, calls.size());
+    checkWholeResponse(largerThanSocketBuffers);
+    CHECK(readEnd == asio::error::eof);
+    CHECK_EQUAL(1U, calls.size());
+}
+
+// The first part of the request was received before the response.
+TEST(connection_end, passesOnNoRequestOfWhichAPartCameBeforeTheLastResponse)
+{
+    sendRequest(get);
+    sendBytes("GET /2 HT");
+    server.beginClosing();
+    calls[0]->respond(makeHead(), std::string(largerThanSocketBuffers, 'x'));
+    sendBytes("TP/1.1\r\nHost: a\r\n\r\n");
+    CHECK_EQUAL(1U, calls.size());
+    checkWholeResponse(largerThanSocketBuffers);
+    CHECK(server.isDrained());
+}
+
+// A part of a request behind the last response counted as under way and held up a planned stop.
+TEST(connection_end, aPartOfARequestBehindTheLastResponseDoesNotHoldUpAStop)
+{
+    sendRequest(get);
+    sendBytes("GET /2 HT");
+    server.beginClosing();
+    calls[0]->respond(makeHead(), "ok");
+    io.poll();
+    CHECK(server.isDrained());
+}
+
+// Requests that are in progress when the node begins to close have their responses.
+TEST(connection_end, answersAllPipelinedRequestsThatWerePassedOn)
+{
+    sendRequest(get);
+    sendRequest(makeGet(2));
+    server.beginClosing();
+    calls[0]->respond(makeHead(), std::string(kernelBytes, 'x'));
+    sendRequest(makeGet(3));
+    calls[1]->respond(makeHead(), std::string(kernelBytes, 'x'));
+    calls[2]->respond(makeHead(), std::string(kernelBytes, 'x'));
+    checkWholeResponse(3 * kernelBytes);
+    CHECK(readEnd == asio::error::eof);
+}
+
 // More requests than are passed on at a time wait in the kernel, where closing would reset the connection.
 TEST(connection_end, requestsThatWereNotReadDoNotCutOffTheLastResponse)
 {
--- a/transport/server_connection.cpp
+++ b/transport/server_connection.cpp
@@ -394,7 +394,11 @@
         else
             text += formatted;
     }
-    m_closesAfterSend = m_closesAfterSend || isLast;
+    if (isLast) {
+        // The client must count requests behind this response as not read, so none of them may run.
+        stopReading();
+        m_closesAfterSend = true;
+    }
     m_lastActiveAt = m_owner->time.now();
     send(std::move(text));
     accountForResponses(0);
