transport: Send the last response to a client that has finished sending

Callers saw: a client that shuts down its sending direction while its response is being sent lost the part that the kernel had not taken yet.

Cause: the end of the client's direction closed the connection, whether or not a request was in progress. It counts as the client leaving only while one is; afterwards nothing remains but to send the response.

--- a/tests/transport/connection_end_test.cpp
+++ b/tests/transport/connection_end_test.cpp
@@ -409,6 +409,43 @@
     CHECK_EQUAL(0U, server.getConnectionCount());
 }
 
+// A client may end its own direction while it is still receiving.
+TEST(connection_end, aClientThatHasFinishedSendingReceivesItsWholeResponse)
+{
+    sendRequest(get);
+    calls[0]->respond(makeHead(), std::string(largerThanSocketBuffers, 'x'));
+    io.poll();
+    CHECK_FALSE(server.isDrained());
+    client.shutdown(tcp::socket::shutdown_send);
+    io.run_for(settleTime);
+    io.restart();
+    checkWholeResponse(largerThanSocketBuffers);
+    CHECK(readEnd == asio::error::eof);
+    CHECK_EQUAL(0U, server.getConnectionCount());
+}
+
+// The same with all of the response in the kernel, which sends it without the connection's owner.
+TEST(connection_end, aClientThatHasFinishedSendingReceivesWhatTheKernelHolds)
+{
+    sendRequest(get);
+    respondThroughKernel();
+    client.shutdown(tcp::socket::shutdown_send);
+    io.run_for(settleTime);
+    io.restart();
+    checkWholeResponse(kernelBytes);
+    CHECK(readEnd == asio::error::eof);
+}
+
+// A client that has left for good frees the connection at once, though its response is not sent.
+TEST(connection_end, aClientThatLeavesEndsItsConnection)
+{
+    sendRequest(get);
+    calls[0]->respond(makeHead(), std::string(largerThanSocketBuffers, 'x'));
+    io.poll();
+    client.close();
+    runUntil([&] { return server.getConnectionCount() == 0; });
+}
+
 // A request that crosses the shutdown of an idle connection is not passed on, and the connection ends at
 // once.
 TEST(connection_end, aRequestThatCrossesTheShutdownOfAnIdleConnectionIsNotPassedOn)
--- a/transport/server_connection.cpp
+++ b/transport/server_connection.cpp
@@ -138,7 +138,7 @@
 void server_connection::read()
 {
     m_isWaitingForMemory = false;
-    if (m_isReading || m_isClosed)
+    if (m_isReading || m_isClosed || m_hasClientFinished)
         return;
     const bool isFull = m_calls.size() >= maxPipelinedRequests || m_unsent.size() > maxUnsentBytes;
     if (isFull && !m_hasStoppedReading)
@@ -156,7 +156,7 @@
     if (m_isClosed)
         return;
     if (code) {
-        close();
+        onReadFailed(code);
         return;
     }
     const auto now = m_owner->time.now();
@@ -170,7 +170,7 @@
         return;
     }
     if (code) {
-        close();
+        onReadFailed(code);
         return;
     }
     if (m_hasStoppedReading) {
@@ -183,6 +183,19 @@
     read();
 }
 
+/// Closes the connection, unless the client has only shut down its sending direction and is receiving its
+/// last response.
+void server_connection::onReadFailed(const boost::system::error_code& code)
+{
+    m_hasClientFinished = code == asio::error::eof;
+    if (m_hasClientFinished && m_calls.empty() && !m_unsent.empty()) {
+        stopReading();
+        m_closesAfterSend = true;
+        return;
+    }
+    close();
+}
+
 /// Ends the reading of requests and frees an incomplete one.
 void server_connection::stopReading()
 {
@@ -488,6 +501,10 @@
 
 void server_connection::onSent()
 {
+    if (m_hasClientFinished) {
+        close();
+        return;
+    }
     if (m_closesAfterSend) {
         shutDownSending();
         return;
--- a/transport/server_connection.h
+++ b/transport/server_connection.h
@@ -125,6 +125,7 @@
     void resetParser();
     void read();
     void onReadable(boost::system::error_code code);
+    void onReadFailed(const boost::system::error_code& code);
     void stopReading();
     void handleBytes(std::size_t count);
     void discard();
@@ -166,6 +167,7 @@
     bool m_isWaitingForMemory = false;
     bool m_isResumePosted = false;
     bool m_hasStoppedReading = false; ///< What the client still sends is discarded.
+    bool m_hasClientFinished = false; ///< The client sends nothing more.
     bool m_isShutDown = false; ///< Nothing more is sent.
     bool m_lingers = false; ///< After the shutdown, the client may still be receiving responses.
     bool m_closesAfterSend = false;
