transport: Answer the requests before one that is given up for memory

Callers saw: under memory pressure, a client that had sent a part of a request's head behind a request in progress lost the response to that request, which had been passed on.

Cause: a connection with an incomplete head was closed at once, without regard to its earlier requests. Now such a client gets 503 behind its responses. One without anything due is still closed without an answer.

--- a/tests/transport/connection_end_test.cpp
+++ b/tests/transport/connection_end_test.cpp
@@ -347,6 +347,30 @@
     checkWholeResponse(kernelBytes);
 }
 
+// A connection that waits for memory with a part of a head was closed, and a request in progress cut off with
+// it.
+TEST(connection_end, lackOfMemoryDoesNotCutOffTheRequestsBefore)
+{
+    constexpr std::size_t shareBytes = 100000;
+    memory_shares shares;
+    shares.requestBytes = shareBytes;
+    shares.responseBytes = largerThanSocketBuffers;
+    const auto account = std::make_shared<memory_account>(shares);
+    server.setAccount(account);
+    sendRequest(get);
+    sendBytes("GET /2 HT");
+    account->add(shareBytes);
+    sendBytes("TP/1.1\r\n");
+    account->tick(now);
+    now = now + shares.waitTime;
+    account->tick(now);
+    CHECK_EQUAL(1U, refusals.size());
+    calls[0]->respond(makeHead(), std::string(kernelBytes, 'x'));
+    checkWholeResponse(kernelBytes);
+    CHECK(readEnd == asio::error::eof);
+    account->remove(shareBytes);
+}
+
 // A planned stop closes a kept connection whose client is still receiving the response from before the stop.
 TEST(connection_end, aShutdownDoesNotCutOffAResponse)
 {
--- a/transport/server_connection.cpp
+++ b/transport/server_connection.cpp
@@ -260,7 +260,8 @@
     rejectRequest(boost::beast::http::error::bad_chunk);
 }
 
-/// Frees the memory of the request that is being received, or closes a connection that is not read.
+/// Frees the memory of the request that is being received, or closes a connection that is not read. A client
+/// that sends only a part of a head gets no response, unless earlier ones are due to it.
 void server_connection::giveUp(bool isSending)
 {
     const auto self = shared_from_this();
@@ -270,7 +271,7 @@
         return;
     }
     m_owner->reportRefusal("memory");
-    if (m_parser->is_header_done())
+    if (m_parser->is_header_done() || !isWithoutCall() || !isDelivered())
         refuseForMemory();
     else
         close();
