transport, node: Let callers of the node's own listeners receive their last response

Callers saw: on the listeners of fuchsiagauged without mesh, bytes behind a request with `Connection: close`, or behind the last response before a stop, reset the connection and cut off the response.

The session ended, and with it the connection, as soon as the kernel had taken the response; a stop closed kept connections, and the process ended at once.

Change: a session lingers as the connections of `mesh` do, and a stop waits for those within its grace time.

--- a/node/node.cpp
+++ b/node/node.cpp
@@ -250,6 +250,12 @@
             && meshListener.getOpenCallCount() == 0 && egressListener.getOpenCallCount() == 0;
     }
 
+    bool isLingering() const
+    {
+        return edgeListener.isLingering() || meshListener.isLingering() || egressListener.isLingering()
+            || adminListener.isLingering();
+    }
+
     void drainAndStop(boost::asio::yield_context yield)
     {
         const auto startedAt = nodeContext.now();
@@ -261,6 +267,9 @@
         meshListener.stop();
         egressListener.stop();
         adminListener.stop();
+        // The end of the process could discard a response that is still on its way.
+        while (isLingering() && nodeContext.now() - startedAt < gracePeriod)
+            sleepFor(io, tickPeriod, yield);
         fleet.stop();
         monitor.stop();
         isStopped = true;
--- a/transport/call_listener.cpp
+++ b/transport/call_listener.cpp
@@ -3,7 +3,11 @@
 #include "transport/beast_types.h"
 #include "transport/coroutine.h"
 #include "transport/http_connection.h"
+#include "transport/lingering_close.h"
+#include "transport/socket_options.h"
 
+#include <algorithm>
+#include <array>
 #include <set>
 
 namespace fuchsiagauge {
@@ -12,6 +16,7 @@
     constexpr milliseconds idleTimeout { 60000 };
     constexpr milliseconds bodyTimeout { 30000 };
     constexpr milliseconds writeTimeout { 30000 };
+    constexpr milliseconds lingerCheckInterval { 20 };
 
     using request_parser = http::request_parser<http::string_body>;
 
@@ -58,14 +63,23 @@
         m_stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
         while (serveRequest(yield)) { }
         m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        waitForCaller(yield);
     }
 
+    /// Ends the connection, unless it is serving a call. One whose caller has not received its last response
+    /// stays open until it has.
     void closeIfIdle()
     {
-        if (!m_isServing)
+        if (m_isServing || m_isLingering)
+            return;
+        if (countUnacknowledgedBytes(m_stream.socket()) == 0)
             m_stream.close();
+        else
+            m_stream.cancel();
     }
 
+    bool isLingering() const { return m_isLingering; }
+
     bool sendComplete(const response_head& head, const std::string& body, asio::yield_context yield) override
     {
         http::response<http::string_body> message;
@@ -155,6 +169,36 @@
         return !code;
     }
 
+    /// Discards what the caller still sends until it closes the connection, as a request that was sent behind
+    /// the last response would otherwise reset the connection and discard that response.
+    void waitForCaller(asio::yield_context yield)
+    {
+        auto& socket = m_stream.socket();
+        boost::system::error_code code;
+        socket.non_blocking(true, code);
+        if (code)
+            return;
+        const auto time = clock::makeSteady();
+        lingering_close lingering;
+        lingering.begin(time.now());
+        m_isLingering = true;
+        while (discardReceived()
+            && !lingering.isOver(countUnacknowledgedBytes(socket), writeTimeout, time.now()))
+            sleepFor(m_owner->io, lingerCheckInterval, yield);
+        m_isLingering = false;
+    }
+
+    /// @return whether the caller may send more.
+    bool discardReceived()
+    {
+        constexpr int maxReads = 16; // A caller that keeps sending must not hold up the others.
+        std::array<char, readBufferBytes> discarded {};
+        boost::system::error_code code;
+        for (int reads = 0; !code && reads < maxReads; ++reads)
+            m_stream.socket().read_some(asio::buffer(discarded), code);
+        return !code || code == asio::error::would_block || code == asio::error::try_again;
+    }
+
     /// Reads one request and serves it.
     /// @return whether the connection can serve another call.
     bool serveRequest(asio::yield_context yield)
@@ -275,6 +319,7 @@
     bool m_isKeepAlive = false;
     bool m_isHeadRequest = false;
     bool m_isServing = false;
+    bool m_isLingering = false; ///< Waits for the caller to close the connection.
     bool m_isStarted = false;
     bool m_isFinished = false;
     bool m_isClosed = false;
@@ -342,6 +387,13 @@
         session->closeIfIdle();
 }
 
+bool call_listener::isLingering() const
+{
+    const auto& sessions = m_state->sessions;
+    return std::any_of(
+        sessions.begin(), sessions.end(), [](const auto* session) { return session->isLingering(); });
+}
+
 std::size_t call_listener::getOpenCallCount() const { return m_state->openCallCount; }
 
 } // namespace fuchsiagauge
--- a/transport/call_listener.h
+++ b/transport/call_listener.h
@@ -45,6 +45,9 @@
     /// connections are closed.
     void stop();
 
+    /// @return whether a caller may still be receiving its last response on a connection that is shut down.
+    bool isLingering() const;
+
     /// @return the number of calls in progress.
     std::size_t getOpenCallCount() const;
 
