transport: Account for the heads of responses

The report: an instance sends bytes that are no answer, without end, and the process that called it runs out of memory. All other places of a response held, as did both kinds of heads from an instance, whose slots bound the calls.

Cause: the account of responses counted the body and unparsed bytes. The fields of a head, at 64 bytes and more for 5 that are received, were in none, nor were those of responses that wait for an earlier one.

Change: the account covers all memory of the message, and a call that would exceed it fails as before. A connection that becomes idle frees the buffer of its last head.

--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -280,6 +280,23 @@
     CHECK_FALSE(memory->isMostlyHeld());
 }
 
+// A head of many short fields takes many times the bytes that an instance sends.
+TEST(http_server, accountsForTheHeadsOfResponsesThatWaitForAnEarlierOne)
+{
+    constexpr std::size_t fieldCount = 10000;
+    const auto memory = std::make_shared<receive_memory>(2 * fieldCount * sizeof(header_field));
+    server.setMemory(memory);
+    sendBytes("GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    runUntil([&] { return calls.size() == 2; });
+    auto head = makeHead(200);
+    for (std::size_t index = 0; index < fieldCount; ++index)
+        head.fields.add("a", "b");
+    calls[1]->respond(head, {});
+    CHECK(memory->getUsed() >= fieldCount * sizeof(header_field));
+    calls[0]->respond(makeHead(200), {});
+    runUntil([&] { return memory->getUsed() == 0; });
+}
+
 TEST(http_server, isNotDrainedWhileARequestIsPartlyReceived)
 {
     CHECK(server.isDrained());
--- a/tests/transport/pooled_http_client_test.cpp
+++ b/tests/transport/pooled_http_client_test.cpp
@@ -335,6 +335,24 @@
     }
 }
 
+// A head of many short fields takes many times the bytes that were received. It stays below the limit on
+// heads and does not end, so that many calls together would exceed the memory.
+TEST(pooled_http_client, accountsForTheFieldsOfAHead)
+{
+    constexpr int fieldCount = 8000;
+    pool_limits limits;
+    limits.memory = std::make_shared<receive_memory>(1048576);
+    client = std::make_unique<pooled_http_client>(io, fuchsiagauge::clock::makeBoot(),
+        address { "127.0.0.1", acceptor.local_endpoint().port() }, limits);
+    std::string head = "HTTP/1.1 200 OK\r\nid: a\r\n";
+    for (int index = 0; index < fieldCount; ++index)
+        head += "a:b\r\n";
+    send("a");
+    respond(head);
+    expectFailure(error_kind::BrokenAnswer, true);
+    CHECK_EQUAL(0U, limits.memory->getUsed());
+}
+
 // A late copy of an earlier response arrives in the same packet as the start of the next one.
 TEST(pooled_http_client, skipsACopyThatArrivesTogetherWithTheNextResponse)
 {
--- a/transport/call.cpp
+++ b/transport/call.cpp
@@ -56,6 +56,14 @@
     return value ? *value : std::string();
 }
 
+std::size_t header_fields::getMemory() const
+{
+    auto bytes = m_fields.capacity() * sizeof(header_field);
+    for (const auto& field : m_fields)
+        bytes += field.name.size() + field.value.size();
+    return bytes;
+}
+
 bool equalsIgnoringCase(const std::string& name, const char* expected)
 {
     return strcasecmp(name.c_str(), expected) == 0;
--- a/transport/call.h
+++ b/transport/call.h
@@ -2,6 +2,7 @@
 
 #include "transport/message_body.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -46,6 +47,9 @@
 
     const std::vector<header_field>& getAll() const { return m_fields; }
 
+    /// @return the bytes of memory that the fields take.
+    std::size_t getMemory() const;
+
 private:
     std::vector<header_field> m_fields;
 };
--- a/transport/message_parser.h
+++ b/transport/message_parser.h
@@ -52,7 +52,7 @@
     std::size_t getMemory() const
     {
         constexpr std::size_t smallBytes = 131072;
-        return method.size() + target.size() + m_fieldBytes
+        return method.size() + target.size() + fields.getMemory()
             + std::min(body.capacity(), std::max(body.size(), smallBytes));
     }
 
@@ -106,7 +106,6 @@
         if (name == boost::beast::http::field::expect)
             expectsContinue = true;
         std::string text(nameText);
-        m_fieldBytes += sizeof(header_field) + nameText.size() + value.size();
         if (!isHopByHopField(text))
             fields.add(std::move(text), std::string(value));
     }
@@ -183,7 +182,6 @@
             keepAliveSeconds = std::atoi(value.c_str() + position + key.size());
     }
 
-    std::size_t m_fieldBytes = 0;
     std::size_t m_trailerBytes = 0;
     std::uint64_t m_chunkCount = 0;
 };
--- a/transport/pooled_http_client.cpp
+++ b/transport/pooled_http_client.cpp
@@ -89,8 +89,9 @@
     std::deque<carried_request> m_carriedRequests;
     std::string m_text; ///< Head of the request, with its body if that is small.
     std::size_t m_sentBytes = 0; ///< Of the head and the body.
-    std::string m_unparsed; ///< Incomplete response head or chunk header received so far.
-    std::size_t m_accountedBytes = 0; ///< Bytes of the body that `receive_memory` knows of.
+    std::string
+        m_unparsed; ///< Incomplete response head or chunk header received so far; empty between calls.
+    std::size_t m_accountedBytes = 0; ///< Bytes of the response that `receive_memory` knows of.
     int m_skippedMessages = 0;
     milliseconds m_startedAt;
     milliseconds m_idleSince;
@@ -333,13 +334,16 @@
 {
     if (m_unparsed.size() > maxUnparsedBytes)
         return false;
-    const auto bodyBytes = m_parser->body.size() + m_unparsed.size();
     const auto& memory = m_owner->limits.memory;
-    if (!memory || bodyBytes <= m_accountedBytes)
+    if (!memory)
         return true;
-    if (!memory->grow(m_accountedBytes, bodyBytes))
+    // A head of many short fields takes many times the bytes that were received.
+    const auto bytes = m_parser->getMemory() + m_unparsed.capacity();
+    if (bytes <= m_accountedBytes)
+        return true;
+    if (!memory->grow(m_accountedBytes, bytes))
         return false;
-    m_accountedBytes = bodyBytes;
+    m_accountedBytes = bytes;
     return true;
 }
 
@@ -447,6 +451,7 @@
     if (const auto length = m_parser->content_length())
         result.head.contentLength = *length;
     result.body = std::move(m_parser->body);
+    m_unparsed = {};
     releaseMemory();
     const bool isReusable = m_parser->keep_alive() && isSent() && !m_hasUnrequestedData;
     result.request = std::move(m_request.request);
--- a/transport/server_connection.cpp
+++ b/transport/server_connection.cpp
@@ -427,7 +427,7 @@
         return;
     auto bytes = m_unsent.size();
     for (const auto& call : m_calls)
-        bytes += call->getResponseBody().size();
+        bytes += call->getResponseHead().fields.getMemory() + call->getResponseBody().size();
     if (bytes == m_heldBytes && sentBytes == 0)
         return;
     if (m_owner->account) {
