transport: Limit what an exchange keeps of a response that does not end

What happens: a chunk size, a chunk extension or a trailer without an end is kept until the call times out, at the speed at which it comes, and a head of 8,000 short fields takes about 1 MB.

Cause: Beast limits heads by their bytes and bodies, and leaves the rest to the limit of the read buffer, which had none.

The call fails as broken.

--- a/transport/exchange.cpp
+++ b/transport/exchange.cpp
@@ -10,6 +10,21 @@
 namespace {
 
     constexpr std::uint32_t maxResponseHeaderBytes = 65536;
+    constexpr std::size_t maxResponseFields = 1000;
+
+    /// Limits the number of header fields, as many short ones take many times the bytes that were received.
+    class limited_parser : public http::response_parser<http::buffer_body> {
+        void on_field_impl(http::field name, beast::string_view nameText, beast::string_view value,
+            boost::system::error_code& code) override
+        {
+            if (++m_fieldCount > maxResponseFields)
+                code = http::error::header_limit;
+            else
+                get().insert(name, nameText, value);
+        }
+
+        std::size_t m_fieldCount = 0;
+    };
 
     error_kind classifyFailure(const boost::system::error_code& code)
     {
@@ -32,7 +47,7 @@
 struct exchange::state {
     std::shared_ptr<connection_pool> pool;
     std::unique_ptr<http_connection> connection;
-    std::optional<http::response_parser<http::buffer_body>> parser;
+    std::optional<limited_parser> parser;
     bool mayHaveArrived = false;
     bool isCancelled = false;
     bool isDone = false;
