transport, client: Limit what is kept of the platform's and the nodes' endless responses

Change: both buffers end at 128 KB; the call fails.

Tests: platform_client_responses, givesUpAnEndlessResponse and http_fetch, givesUpAnEndlessResponse fail before the change.

--- a/client/http_fetch.cpp
+++ b/client/http_fetch.cpp
@@ -17,6 +17,9 @@
 
     constexpr std::size_t maxConcurrentFetches = 64;
     constexpr std::uint64_t maxResponseBytes = 64ULL * 1024 * 1024;
+    /// Largest part of a response that is kept until the parser can take it, such as a chunk header or a
+    /// trailer.
+    constexpr std::size_t maxUnparsedBytes = 131072;
     constexpr unsigned httpVersion = 11; // HTTP/1.1 in Beast's notation.
 
     /// Removes the brackets around an IPv6 address.
@@ -108,7 +111,7 @@
         }
 
         beast::tcp_stream m_stream;
-        beast::flat_buffer m_buffer;
+        beast::flat_buffer m_buffer { maxUnparsedBytes };
         http::request<http::empty_body> m_request;
         http::response_parser<http::string_body> m_parser;
         fetch_result& m_result;
--- a/tests/client/http_fetch_test.cpp
+++ b/tests/client/http_fetch_test.cpp
@@ -24,7 +24,19 @@
     {
     }
 
-    ~single_response_server() { m_thread.join(); }
+    ~single_response_server()
+    {
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+
+    /// Waits until the connection has ended.
+    /// @return whether all bytes were taken.
+    bool waitForEnd()
+    {
+        m_thread.join();
+        return m_isSent;
+    }
 
     address getAddress() const { return { "127.0.0.1", m_acceptor.local_endpoint().port() }; }
 
@@ -36,7 +48,7 @@
         m_acceptor.accept(socket, ignored);
         std::string request;
         asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", ignored);
-        asio::write(socket, asio::buffer(m_bytes), ignored);
+        m_isSent = asio::write(socket, asio::buffer(m_bytes), ignored) == m_bytes.size();
         if (m_bytes.empty()) // Sends nothing and waits until the client times out and closes.
             asio::read_until(socket, asio::dynamic_buffer(request), "never", ignored);
     }
@@ -44,6 +56,7 @@
     asio::io_context m_io;
     asio::ip::tcp::acceptor m_acceptor;
     std::string m_bytes;
+    bool m_isSent = false;
     std::thread m_thread;
 };
 
@@ -80,6 +93,19 @@
     }
 }
 
+// Chunk headers and trailers were kept without a limit until the request timed out.
+TEST(http_fetch, givesUpAnEndlessResponse)
+{
+    constexpr std::size_t largerThanSocketBuffers = 33554432;
+    const std::string chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    for (const auto& start : { chunked + "1;", chunked + "0\r\nname: " }) {
+        single_response_server server(start + std::string(largerThanSocketBuffers, 'x'));
+        const auto results = fetchAll({ { server.getAddress(), "/status" } }, milliseconds(20000));
+        CHECK_FALSE_TEXT(results.at(0).hasResponse, start.c_str());
+        CHECK_FALSE_TEXT(server.waitForEnd(), start.c_str());
+    }
+}
+
 TEST(http_fetch, returnsResultsInRequestOrder)
 {
     std::vector<fetch_request> requests(200, { { "not-a-number", 1 }, "/" });
--- a/tests/transport/platform_client_test.cpp
+++ b/tests/transport/platform_client_test.cpp
@@ -94,3 +94,52 @@
             CHECK_TEXT(!failures.empty() && failures[0].find(row.failure) != std::string::npos, row.name);
     }
 }
+
+// A faulty platform sends bytes without end that complete no response. Chunk headers and trailers were kept
+// without a limit until the call timed out.
+TEST(platform_client_responses, givesUpAnEndlessResponse)
+{
+    using boost::asio::ip::tcp;
+    constexpr std::size_t maxSentBytes = 16777216;
+    const std::string filler(16384, 'x');
+    const std::string chunked = "HTTP/1.1 200 OK\r\nrevision: 7\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string& start :
+        { std::string(), std::string("HTTP/1.1 200 "), std::string("HTTP/1.1 200 OK\r\nname: "),
+            std::string("HTTP/1.1 200 OK\r\n\r\n"), chunked + "1;", chunked + "0\r\nname: " }) {
+        boost::asio::io_context io;
+        tcp::acceptor acceptor(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+        tcp::socket target(io);
+        std::size_t sentBytes = 0;
+        std::function<void(const boost::system::error_code&, std::size_t)> sendMore
+            = [&](const boost::system::error_code& code, std::size_t count) {
+                  sentBytes += count;
+                  if (!code && sentBytes < maxSentBytes)
+                      boost::asio::async_write(target, boost::asio::buffer(filler), sendMore);
+              };
+        acceptor.async_accept(target, [&](const boost::system::error_code& code) {
+            if (!code)
+                boost::asio::async_write(target, boost::asio::buffer(start), sendMore);
+        });
+        platform_client::options options;
+        options.platform = { "127.0.0.1", acceptor.local_endpoint().port() };
+        std::vector<std::string> failures;
+        int permittedCalls = 1;
+        platform_client::hooks hooks;
+        hooks.random = [] { return 0.5; };
+        hooks.tryTakeCallPermit = [&] { return permittedCalls-- > 0; };
+        hooks.onContact = [] {};
+        hooks.onDocument = [](document_kind, std::uint64_t, const std::string&) {};
+        hooks.onFailure = [&](const std::string& reason) { failures.push_back(reason); };
+        platform_client client(io, options, hooks);
+        client.start();
+        const auto end = std::chrono::steady_clock::now() + maxWaitTime;
+        while (failures.empty() && sentBytes < maxSentBytes && std::chrono::steady_clock::now() < end)
+            io.run_one_for(std::chrono::milliseconds(50));
+        CHECK_EQUAL_TEXT(1U, failures.size(), start.c_str());
+        client.stop();
+        acceptor.close();
+        target.close();
+        // Runs the cancelled operations to completion, before the client is destroyed.
+        io.run_for(maxWaitTime);
+    }
+}
--- a/transport/platform_client.cpp
+++ b/transport/platform_client.cpp
@@ -1,5 +1,7 @@
 #include "transport/platform_client.h"
 
+#include "transport/http_connection.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -153,7 +155,7 @@
             return "send: " + code.message();
         if (documentWatch.hasRevision)
             reportContactPeriodically(documentWatch);
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(maxUnparsedBytes);
         http::response_parser<http::string_body> parser;
         parser.body_limit(maxBodyBytes);
         http::async_read(stream, buffer, parser, yield[code]);
