tests: Check that an endless handshake of a peer is given up

The report on bytes without end, for the links between nodes: it can't happen there. websocketpp limits the head of the handshake and the node limits messages. The test stays.

--- a/tests/transport/peer_network_test.cpp
+++ b/tests/transport/peer_network_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <cstring>
 #include <functional>
 #include <memory>
 #include <string>
@@ -134,6 +135,38 @@
     stopAll({ &accepting });
 }
 
+// A faulty process at a peer's address sends bytes without end that complete no handshake.
+TEST(peer_network_links, givesUpAnEndlessHandshake)
+{
+    constexpr std::size_t maxSentBytes = 16777216;
+    const std::string filler(16384, 'x');
+    for (const char* start : { "", "HTTP/1.1 101 ", "HTTP/1.1 101 Switching Protocols\r\nname: ",
+             "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;" }) {
+        using boost::asio::ip::tcp;
+        io.restart();
+        tcp::acceptor acceptor(io, { boost::asio::ip::make_address("127.0.0.1"), 0 });
+        tcp::socket target(io);
+        std::size_t sentBytes = 0;
+        std::function<void(const boost::system::error_code&, std::size_t)> sendMore
+            = [&](const boost::system::error_code& code, std::size_t count) {
+                  sentBytes += count;
+                  if (!code && sentBytes < maxSentBytes)
+                      boost::asio::async_write(target, boost::asio::buffer(filler), sendMore);
+              };
+        acceptor.async_accept(target, [&](const boost::system::error_code& code) {
+            if (!code)
+                boost::asio::async_write(target, boost::asio::buffer(start, std::strlen(start)), sendMore);
+        });
+        network_side caller(io, "orders-1", "key");
+        caller.network.dial(1, formatAddress({ "127.0.0.1", acceptor.local_endpoint().port() }));
+        CHECK_TEXT(runUntil([&] { return !caller.closedLinks.empty() || sentBytes >= maxSentBytes; }), start);
+        CHECK_EQUAL_TEXT(1U, caller.closedLinks.size(), start);
+        target.close();
+        acceptor.close();
+        stopAll({ &caller });
+    }
+}
+
 TEST(peer_network_links, reportsFailedDials)
 {
     network_side opening(io, "b", "secret");
