transport: Limit what a listener keeps of a request that does not end

A caller of fuchsiagauged without mesh could send a chunk header or a trailer without an end, which was kept until the timeout of the body. Cause and limit are those of exchange, plus the configured size of heads.

Test: call_listener, givesUpAnEndlessRequest fails before the change.

--- a/tests/transport/call_listener_test.cpp
+++ b/tests/transport/call_listener_test.cpp
@@ -105,6 +105,24 @@
     CHECK_EQUAL(1U, servedCount);
 }
 
+// Chunk headers and trailers of requests were kept without a limit until the timeout of the body.
+TEST(call_listener, givesUpAnEndlessRequest)
+{
+    constexpr std::size_t maxSentBytes = 16777216;
+    const std::string filler(16384, 'x');
+    client.non_blocking(true);
+    sendBytes("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1;");
+    std::size_t sentBytes = 0;
+    boost::system::error_code code;
+    while (
+        sentBytes < maxSentBytes && client.available() == 0 && (!code || code == asio::error::would_block)) {
+        sentBytes += client.write_some(asio::buffer(filler), code);
+        io.run_one_for(std::chrono::milliseconds(1));
+    }
+    CHECK(sentBytes < maxSentBytes);
+    CHECK_EQUAL(0U, servedCount);
+}
+
 // A planned stop closes a kept connection whose caller is still receiving its response.
 TEST(call_listener, aStopDoesNotCutOffAResponse)
 {
--- a/transport/call_listener.cpp
+++ b/transport/call_listener.cpp
@@ -48,6 +48,7 @@
     call_session(asio::ip::tcp::socket socket, std::shared_ptr<call_listener::state> owner)
         : m_stream(std::move(socket))
         , m_owner(std::move(owner))
+        , m_buffer(m_owner->limits.headerBytes + maxUnparsedBytes)
     {
         m_buffer.reserve(readBufferBytes);
         m_owner->sessions.insert(this);
