transport: Take no reset for the end of a response without a length

Callers saw: an instance answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the node was still sending.

Cause: Linux reports a reset once, to the next system call on the socket. While a request is being sent, that is often a send. The reads after it report the end of the stream, as after an orderly close. The pooled client failed the call in a posted handler, but a read that was already queued came first, took the end of the stream for the end of the body and finished the call. The same order could also lose a response: one with a length that was complete in the receive buffer failed with the send.

Change: a failed send is remembered. What has been received is then read to its end, and the end of the stream counts as an orderly close only if no send has failed before, or failed with a broken pipe, which Linux reports instead of a reset once the remote side has closed its direction. A request of which no byte was sent fails at once, as nothing can answer it.

--- a/tests/mesh/raw_instance.cpp
+++ b/tests/mesh/raw_instance.cpp
@@ -61,7 +61,7 @@
                 return;
             self->m_received.append(self->m_readBuffer, count);
             self->readRequests();
-            if (self->m_socket.is_open())
+            if (self->m_socket.is_open() && !self->m_hasStoppedReading)
                 self->read();
         });
 }
--- a/tests/mesh/raw_instance.h
+++ b/tests/mesh/raw_instance.h
@@ -14,7 +14,8 @@
 /// A simulated instance whose responses a test writes byte by byte, for faults that a correct server can't
 /// have.
 ///
-/// It reads one request after the other from each connection. Requests must have no body.
+/// It reads one request after the other from each connection. Requests must have no body, unless the test
+/// stops reading at their head.
 class raw_instance {
 public:
     /// One connection of the node to the instance.
@@ -28,6 +29,9 @@
         /// Calls an action later, unless the instance has been closed by then.
         void writeLater(std::chrono::milliseconds delay, std::function<void()> action);
 
+        /// Leaves what the node still sends unread.
+        void stopReading() { m_hasStoppedReading = true; }
+
         /// Closes the connection.
         /// @param isReset whether the node gets a reset instead of an orderly end.
         void close(bool isReset = false);
@@ -43,6 +47,7 @@
         boost::asio::ip::tcp::socket m_socket;
         raw_instance& m_owner;
         std::string m_received;
+        bool m_hasStoppedReading = false;
         char m_readBuffer[4096];
     };
 
--- a/tests/mesh/test_mesh.cpp
+++ b/tests/mesh/test_mesh.cpp
@@ -134,10 +134,10 @@
     return rules;
 }
 
-std::size_t test_mesh::send(
-    const vm& entry, const std::string& id, const std::string& path, const std::vector<header_field>& fields)
+std::size_t test_mesh::send(const vm& entry, const std::string& id, const std::string& path,
+    const std::vector<header_field>& fields, const std::string& body)
 {
-    return sendTo({ entry.host, callersPort }, id, path, fields);
+    return sendTo({ entry.host, callersPort }, id, path, fields, body);
 }
 
 outgoing_result test_mesh::fetchAdmin(const vm& entry, const std::string& path)
@@ -146,14 +146,15 @@
 }
 
 std::size_t test_mesh::sendTo(const address& listener, const std::string& id, const std::string& path,
-    const std::vector<header_field>& fields)
+    const std::vector<header_field>& fields, const std::string& body)
 {
     m_clients.push_back(std::make_unique<client>());
     auto& added = *m_clients.back();
     added.pool = std::make_unique<pooled_http_client>(m_io, getClock(), listener, pool_limits {});
     outgoing_request outgoing;
-    outgoing.request.method = "GET";
+    outgoing.request.method = body.empty() ? "GET" : "POST";
     outgoing.request.target = path;
+    outgoing.request.body = body;
     outgoing.request.fields.add("Host", "shop");
     outgoing.request.fields.add("Request-Id", id);
     for (const auto& field : fields)
--- a/tests/mesh/test_mesh.h
+++ b/tests/mesh/test_mesh.h
@@ -67,10 +67,10 @@
     /// @return rules with one route for host `shop` and path prefix `/` to a service.
     static fuchsiagauge::traffic_rules makeRules(const std::string& service, bool isIdempotent);
 
-    /// Sends a request of a new client to the node of a VM.
+    /// Sends a request of a new client to the node of a VM; one with a body is a POST.
     /// @return the index of the client, for getResult(), await() and disconnectClient().
     std::size_t send(const vm& entry, const std::string& id, const std::string& path = "/x",
-        const std::vector<fuchsiagauge::header_field>& fields = {});
+        const std::vector<fuchsiagauge::header_field>& fields = {}, const std::string& body = {});
 
     /// Asks a node on the listener for its readiness, which serves the paths of the metrics listener too.
     /// @return the response.
@@ -105,7 +105,7 @@
 
 private:
     std::size_t sendTo(const fuchsiagauge::address& listener, const std::string& id, const std::string& path,
-        const std::vector<fuchsiagauge::header_field>& fields);
+        const std::vector<fuchsiagauge::header_field>& fields, const std::string& body = {});
 
     struct client {
         std::unique_ptr<fuchsiagauge::pooled_http_client> pool;
--- a/transport/pooled_http_client.cpp
+++ b/transport/pooled_http_client.cpp
@@ -61,7 +61,8 @@
     void sendRequest();
     void writeUnsent(boost::system::error_code& code);
     bool isSent() const;
-    void onWritable(boost::system::error_code code);
+    void onWritable(const boost::system::error_code& code);
+    void onSendFailed();
     void read();
     void onRead(const boost::system::error_code& code, std::size_t count);
     std::size_t parse(const char* data, std::size_t size);
@@ -71,6 +72,7 @@
     outgoing_result makeResult() const;
     void finish();
     void failCall(error_kind kind, const std::string& detail);
+    void failInterruptedCall(const boost::system::error_code& code);
     void resetParser();
     bool isWithinLimits();
     void releaseMemory();
@@ -89,6 +91,7 @@
     std::deque<carried_request> m_carriedRequests;
     std::string m_text; ///< Head of the request, with its body if that is small.
     std::size_t m_sentBytes = 0; ///< Of the head and the body.
+    boost::system::error_code m_sendError; ///< Why the rest of the request can't be sent.
     std::string
         m_unparsed; ///< Incomplete response head or chunk header received so far; empty between calls.
     std::size_t m_accountedBytes = 0; ///< Bytes of the response that `receive_memory` knows of.
@@ -184,6 +187,7 @@
     if (m_isBodyJoined)
         m_text += body.getText();
     m_sentBytes = 0;
+    m_sendError = {};
     m_isBusy = true;
     ++m_callNumber;
     m_hasSent = false;
@@ -240,12 +244,11 @@
 
 void pooled_http_client::connection::sendRequest()
 {
-    boost::system::error_code code;
-    writeUnsent(code);
-    if (code) {
-        asio::post(m_owner->io, [self = shared_from_this(), message = code.message()] {
+    writeUnsent(m_sendError);
+    if (m_sendError) {
+        asio::post(m_owner->io, [self = shared_from_this()] {
             if (!self->m_isClosed && self->m_isBusy)
-                self->failCall(error_kind::ConnectionLost, "send: " + message);
+                self->onSendFailed();
         });
         return;
     }
@@ -278,22 +281,40 @@
     return m_sentBytes == m_text.size() + (m_isBodyJoined ? 0 : m_request.request.body.size());
 }
 
-void pooled_http_client::connection::onWritable(boost::system::error_code code)
+void pooled_http_client::connection::onWritable(const boost::system::error_code& code)
 {
+    m_sendError = code;
     if (code)
-        failCall(error_kind::ConnectionLost, "send: " + code.message());
+        onSendFailed();
     else
         sendRequest();
 }
 
+/// Reads what has been received, as the remote side may have responded before it ended the connection.
+void pooled_http_client::connection::onSendFailed()
+{
+    if (!m_hasSent) { // Without a request, nothing that was received responds to it.
+        failInterruptedCall(m_sendError);
+        return;
+    }
+    while (m_isBusy && !m_isClosed) {
+        boost::system::error_code code;
+        const auto count = m_socket.read_some(asio::buffer(m_owner->readBuffer), code);
+        if (code == asio::error::would_block || code == asio::error::try_again)
+            failInterruptedCall(m_sendError);
+        else
+            onRead(code, count);
+    }
+}
+
 void pooled_http_client::connection::read()
 {
-    if (m_isReading || m_isClosed)
+    if (m_isReading || m_isClosed || m_sendError)
         return;
     m_isReading = true;
     m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](boost::system::error_code code) {
         self->m_isReading = false;
-        if (self->m_isClosed)
+        if (self->m_isClosed || self->m_sendError) // onSendFailed() reads the rest.
             return;
         std::size_t count = 0;
         if (!code)
@@ -421,14 +442,13 @@
 
 void pooled_http_client::connection::onReadFailed(const boost::system::error_code& code)
 {
-    const bool isCleanEnd = code == asio::error::eof;
-    if (isCleanEnd && m_parser->is_header_done() && m_parser->need_eof()) {
+    if (isOrderlyEnd(code, m_sendError) && m_parser->is_header_done() && m_parser->need_eof()) {
         boost::system::error_code endCode;
         m_parser->put_eof(endCode);
         if (!endCode && m_parser->is_done() && handleMessage(false))
             return;
     }
-    failCall(m_parser->got_some() ? error_kind::BrokenAnswer : error_kind::ConnectionLost, code.message());
+    failInterruptedCall(code);
 }
 
 /// @return a result that tells which connection the call used and how long it took.
@@ -486,6 +506,13 @@
         onResult(std::move(result));
 }
 
+/// Fails a call whose connection ended before its response was complete.
+void pooled_http_client::connection::failInterruptedCall(const boost::system::error_code& code)
+{
+    failCall(m_parser->got_some() ? error_kind::BrokenAnswer : error_kind::ConnectionLost,
+        m_sendError ? "send: " + m_sendError.message() : code.message());
+}
+
 void pooled_http_client::connection::cancel()
 {
     m_onResult = nullptr;
--- a/transport/pooled_http_client.h
+++ b/transport/pooled_http_client.h
@@ -53,9 +53,11 @@
 /// Sends requests to one address over persistent connections, one request at a time on each.
 ///
 /// A call that fails or is cancelled closes its connection, so that a late response can't be mistaken for the
-/// response to another request. A request that is sent again goes over another connection. Idle connections
-/// are monitored: one that receives unexpected data or is closed by the remote side is removed at once. A
-/// head that is made up of two responses fails the call as one that may have arrived.
+/// response to another request. If the remote side ends the connection while a request is being sent, a
+/// response that was complete by then is the result. A request that is sent again goes over another
+/// connection. Idle connections are monitored: one that receives unexpected data or is closed by the remote
+/// side is removed at once. A head that is made up of two responses fails the call as one that may have
+/// arrived.
 class pooled_http_client {
 public:
     using result_hook = std::function<void(outgoing_result)>;
--- a/transport/socket_options.cpp
+++ b/transport/socket_options.cpp
@@ -42,6 +42,13 @@
     return written;
 }
 
+bool isOrderlyEnd(const boost::system::error_code& readError, const boost::system::error_code& sendError)
+{
+    // Linux reports a reset as a broken pipe if it came after the end of the stream.
+    return readError == boost::asio::error::eof
+        && (!sendError || sendError == boost::asio::error::broken_pipe);
+}
+
 std::size_t countUnacknowledgedBytes(boost::asio::ip::tcp::socket& socket)
 {
     int bytes = 0;
--- a/transport/socket_options.h
+++ b/transport/socket_options.h
@@ -25,6 +25,13 @@
 std::size_t writeNonBlocking(boost::asio::ip::tcp::socket& socket, const char* data, std::size_t size,
     boost::system::error_code& code);
 
+/// Tells an orderly end of the stream from one that only looks like it: a send that fails takes the error of
+/// the connection, so that the reads after it report the end of the stream.
+/// @param readError result of a read.
+/// @param sendError the first error of a send on the connection; none if all sends succeeded.
+/// @return whether the remote side has closed its sending direction.
+bool isOrderlyEnd(const boost::system::error_code& readError, const boost::system::error_code& sendError);
+
 /// Tells whether the remote side has received what was written.
 /// @param socket an open socket.
 /// @return the bytes that were written and that the remote side has not acknowledged, including the end of
