transport: Read the response to an upload that an exchange can't finish sending

Callers of fuchsiagauged without mesh saw: a target refused a long upload with a complete response, for example 413, without reading it, and reset the connection. The response was lost; callers got "connection-lost" and an outcome that was unknown.

An exchange sends the whole request before it reads, and failed with the send, which had taken the reset, although the response was in the receive buffer.

Change: after a reset or a broken pipe the exchange reads what has been received. A response without a length is refused if the reset came before an orderly close, as the end of the stream can't be told from a reset then.

Evidence, before the change: interrupted_exchange failed 2 of 2, with the whole responses lost and those that break off counted as a lost connection; no part of a response passed for a whole one. Both pass with the change.

--- a/tests/transport/interrupted_upload_test.cpp
+++ b/tests/transport/interrupted_upload_test.cpp
@@ -1,3 +1,6 @@
+#include "transport/connection_pool.h"
+#include "transport/coroutine.h"
+#include "transport/exchange.h"
 #include "transport/pooled_http_client.h"
 #include "transport/socket_options.h"
 
@@ -24,6 +27,8 @@
 
 constexpr std::chrono::seconds maxWaitTime { 20 };
 constexpr std::size_t largerThanSocketBuffers = 33554432;
+constexpr std::size_t callBufferBytes = 16384;
+const milliseconds callTimeout { 10000 };
 constexpr std::size_t bodySizes[] = { 1, 5000, 50000 }; ///< The largest one takes several reads.
 
 enum class connection_end { Reset, Close, CloseThenReset };
@@ -202,3 +207,91 @@
         }
     }
 }
+
+// The same target, called by an exchange, which sends the whole request before it reads.
+TEST_GROUP(interrupted_exchange)
+{
+    asio::io_context io;
+    tcp::acceptor acceptor { io, { asio::ip::make_address("127.0.0.1"), 0 } };
+    int status = 0; ///< 0 if there was no complete response.
+    std::string body;
+    error failure;
+    bool hasEnded = false;
+
+    void startUpload()
+    {
+        status = 0;
+        body.clear();
+        hasEnded = false;
+        startCoroutine(io, [this](asio::yield_context yield) {
+            exchange call(std::make_shared<connection_pool>(
+                io, address { "127.0.0.1", acceptor.local_endpoint().port() }));
+            call_request request;
+            request.method = "POST";
+            request.target = "/";
+            request.body = std::string(largerThanSocketBuffers, 'x');
+            const auto head = call.start(request, callTimeout, callTimeout, yield);
+            std::string buffer(callBufferBytes, '\0');
+            std::optional<std::size_t> count;
+            while (head && (count = call.readSome(buffer.data(), buffer.size(), yield)) && *count > 0)
+                body.append(buffer, 0, *count);
+            if (count)
+                status = head->status;
+            else
+                failure = copyLastError();
+            hasEnded = true;
+        });
+    }
+
+    void upload(const std::string& response, connection_end ending)
+    {
+        io.restart();
+        startUpload();
+        io.poll();
+        auto target = acceptor.accept();
+        runAll(io); // Fills the socket buffers.
+        asio::write(target, asio::buffer(response));
+        waitUntilReceived(target);
+        endConnection(target, ending);
+        io.run_for(maxWaitTime);
+        CHECK(hasEnded);
+    }
+
+    void expectFailure(error_kind kind) const
+    {
+        LONGS_EQUAL(0, status);
+        CHECK(kind == failure.kind);
+    }
+};
+
+TEST(interrupted_exchange, aResponseThatBreaksOffIsBrokenByAReset)
+{
+    for (const auto size : bodySizes) {
+        upload(unframedHead + makeBody(size), connection_end::Reset);
+        expectFailure(error_kind::BrokenAnswer);
+        for (const auto& response : { makeResponseWithLength("200 OK", makeBody(size)),
+                 makeChunkedResponse("200 OK", makeBody(size)) }) {
+            upload(response.substr(0, response.size() - 1), connection_end::Reset);
+            expectFailure(error_kind::BrokenAnswer);
+        }
+    }
+    upload(unframedHead.substr(0, 20), connection_end::Reset);
+    expectFailure(error_kind::BrokenAnswer);
+    upload({}, connection_end::Reset);
+    expectFailure(error_kind::ConnectionLost);
+}
+
+TEST(interrupted_exchange, aResponseThatIsWholeBeforeTheResetIsReceived)
+{
+    for (const auto size : bodySizes) {
+        for (const auto& response : { makeResponseWithLength("413 Too Large", makeBody(size)),
+                 makeChunkedResponse("413 Too Large", makeBody(size)) }) {
+            upload(response, connection_end::Reset);
+            LONGS_EQUAL(413, status);
+            CHECK(body == makeBody(size));
+        }
+        upload(unframedHead + makeBody(size), connection_end::CloseThenReset);
+        LONGS_EQUAL(200, status);
+        CHECK(body == makeBody(size));
+    }
+}
--- a/transport/exchange.cpp
+++ b/transport/exchange.cpp
@@ -3,6 +3,7 @@
 #include "transport/connection_pool.h"
 #include "transport/coroutine.h"
 #include "transport/http_connection.h"
+#include "transport/socket_options.h"
 
 #include <limits>
 
@@ -48,6 +49,7 @@
     std::shared_ptr<connection_pool> pool;
     std::unique_ptr<http_connection> connection;
     std::optional<limited_parser> parser;
+    boost::system::error_code sendError; ///< Why the rest of the request can't be sent.
     bool mayHaveArrived = false;
     bool isCancelled = false;
     bool isDone = false;
@@ -56,7 +58,9 @@
     {
         const auto kind = isCancelled ? error_kind::Cancelled : classifyFailure(code);
         connection.reset();
-        return fail(kind, formatAddress(pool->getRemote()) + ": " + code.message());
+        return fail(kind,
+            formatAddress(pool->getRemote()) + ": "
+                + (sendError ? "send: " + sendError.message() : code.message()));
     }
 
     bool sendRequest(const call_request& request, boost::asio::yield_context yield)
@@ -70,7 +74,12 @@
             message.content_length(request.body.size());
         mayHaveArrived = true;
         boost::system::error_code code;
-        http::async_write(connection->stream, message, yield[code]);
+        const auto sentBytes = http::async_write(connection->stream, message, yield[code]);
+        // The remote side may have responded before it ended the connection.
+        if (sentBytes > 0 && (code == asio::error::connection_reset || code == asio::error::broken_pipe)) {
+            sendError = code;
+            return true;
+        }
         if (code)
             failExchange(code);
         return !code;
@@ -87,7 +96,7 @@
     void finish()
     {
         isDone = true;
-        if (parser->get().keep_alive())
+        if (parser->get().keep_alive() && !sendError)
             pool->release(std::move(connection));
         connection.reset();
     }
@@ -118,6 +127,9 @@
         self.prepareParser(request.method == "HEAD");
         http::async_read_header(self.connection->stream, self.connection->buffer, *self.parser, yield[code]);
     } while (!code && isInterim(self.parser->get().result()));
+    // Behind a failed send, a body that ends with the stream can't be told from a part of one.
+    if (!code && self.parser->need_eof() && !isOrderlyEnd(asio::error::eof, self.sendError))
+        code = http::error::partial_message;
     if (code)
         return self.failExchange(code);
     response_head head;
