transport: Accept no response whose status HTTP does not define in an exchange

Callers of fuchsiagauged without mesh saw: a target in trouble sent a response with status 000, and the caller got "HTTP/1.1 000 <unknown-status>", marked as answered. 099, 600 and 999 were taken too.

Cause: Beast's parser takes any three digits. The nodes beside instances check the range in their own parser; exchange, which carries the calls of the product's own interface to targets and to other nodes, did not.

Change: exchange fails such a response as broken. Both use isHttpStatus().

Evidence: before the change, exchange, acceptsNoHeadThatIsNoResponse and target_contract failed with status 000; each of the four statuses alone was accepted by exchange. The odd field names in both tests were refused before as well.

--- a/tests/transport/exchange_test.cpp
+++ b/tests/transport/exchange_test.cpp
@@ -84,6 +84,7 @@
     /// Answers the next connection until the call has ended.
     void respond(const std::string& start, const std::string& repeated)
     {
+        io.restart();
         tcp::socket target(io);
         acceptor.async_accept(target, [](const boost::system::error_code&) {});
         const auto end = std::chrono::steady_clock::now() + maxWaitTime;
@@ -140,3 +141,23 @@
     CHECK(hasEnded);
     CHECK(isComplete);
 }
+
+// The caller would get such a head as a response, with a status or a line that HTTP does not know.
+TEST(exchange, acceptsNoHeadThatIsNoResponse)
+{
+    const std::string end = "Content-Length: 2\r\n\r\nok";
+    std::vector<std::string> responses;
+    for (const char* status : { "000", "099", "600", "999" })
+        responses.push_back("HTTP/1.1 " + std::string(status) + " Odd\r\n" + end);
+    for (const auto& name : { std::string("Na me"), std::string("Name "), std::string("Na\tme"),
+             std::string("Na\0me", 5), std::string("Na\x01me"), std::string("Na\x7fme"),
+             std::string("Na\rme"), std::string("Na\nme"), std::string("Na\r\nme"), std::string() })
+        responses.push_back("HTTP/1.1 200 OK\r\n" + name + ": x\r\n" + end);
+    for (const auto& response : responses) {
+        hasEnded = false;
+        respond(response, {});
+        CHECK_TEXT(hasEnded, response.c_str());
+        CHECK_FALSE_TEXT(isComplete, response.c_str());
+        CHECK_TEXT(failure.kind == error_kind::BrokenAnswer, response.c_str());
+    }
+}
--- a/transport/exchange.cpp
+++ b/transport/exchange.cpp
@@ -1,5 +1,6 @@
 #include "transport/exchange.h"
 
+#include "core/http_status.h"
 #include "transport/connection_pool.h"
 #include "transport/coroutine.h"
 #include "transport/http_connection.h"
@@ -126,6 +127,8 @@
     do {
         self.prepareParser(request.method == "HEAD");
         http::async_read_header(self.connection->stream, self.connection->buffer, *self.parser, yield[code]);
+        if (!code && !isHttpStatus(static_cast<int>(self.parser->get().result_int())))
+            code = http::error::bad_status;
     } while (!code && isInterim(self.parser->get().result()));
     // Behind a failed send, a body that ends with the stream can't be told from a part of one.
     if (!code && self.parser->need_eof() && !isOrderlyEnd(asio::error::eof, self.sendError))
--- a/transport/message_parser.h
+++ b/transport/message_parser.h
@@ -2,6 +2,7 @@
 
 // Include only from source files of the HTTP layer, since Beast is slow to compile.
 
+#include "core/http_status.h"
 #include "transport/call.h"
 #include "transport/receive_limits.h"
 
@@ -69,9 +70,6 @@
     }
 
 private:
-    static constexpr int firstStatus = 100;
-    static constexpr int lastStatus = 599;
-
     void on_request_impl(boost::beast::http::verb /*verb*/, string_view methodText, string_view targetText,
         int /*version*/, error_code& /*code*/) override
     {
@@ -82,7 +80,7 @@
     void on_response_impl(int statusCode, string_view reason, int /*version*/, error_code& code) override
     {
         status = statusCode;
-        if (status < firstStatus || status > lastStatus)
+        if (!isHttpStatus(status))
             code = boost::beast::http::error::bad_status;
         if (containsStatusLine(reason))
             rejectSecondStatusLine(code);
