client: Take no status that HTTP does not define for a node's response

Operators saw: a response with the status 000 or 600 counted as that of a node.

Cause: as in exchange, the range of the status was not checked.

Test: http_fetch, acceptsOnlyCompleteResponses fails before the change with status 000; the odd field name in it was refused before as well.

--- a/client/http_fetch.cpp
+++ b/client/http_fetch.cpp
@@ -1,5 +1,7 @@
 #include "client/http_fetch.h"
 
+#include "core/http_status.h"
+
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core.hpp>
@@ -98,8 +100,11 @@
         {
             if (errorCode)
                 return finishWithError(errorCode.message());
+            const auto status = static_cast<int>(m_parser.get().result_int());
+            if (!isHttpStatus(status))
+                return finishWithError("a response with the status " + std::to_string(status));
             m_result.hasResponse = true;
-            m_result.status = static_cast<int>(m_parser.get().result_int());
+            m_result.status = status;
             m_result.body = std::move(m_parser.get().body());
             m_onComplete();
         }
--- a/tests/client/http_fetch_test.cpp
+++ b/tests/client/http_fetch_test.cpp
@@ -73,6 +73,9 @@
     { "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n", true, 503, "" },
     { "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort", false, 0, "" },
     { "HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\nlong", false, 0, "" },
+    { "HTTP/1.1 000 Odd\r\ncontent-length: 2\r\n\r\nok", false, 0, "" },
+    { "HTTP/1.1 600 Odd\r\ncontent-length: 2\r\n\r\nok", false, 0, "" },
+    { "HTTP/1.1 200 OK\r\nna me: x\r\ncontent-length: 2\r\n\r\nok", false, 0, "" },
     { "SSH-2.0-OpenSSH\r\n", false, 0, "" },
     { "", false, 0, "" },
 };
