tests: Show that the platform's and the nodes' responses do not end with a reset

The readers of the platform's documents and of the nodes' status send a request whole before they read, so that only a read can take a reset.

--- a/tests/client/http_fetch_test.cpp
+++ b/tests/client/http_fetch_test.cpp
@@ -14,12 +14,13 @@
 
 namespace asio = boost::asio;
 
-/// Accepts one connection, reads a request, sends a fixed byte sequence and closes the connection.
+/// Accepts one connection, reads a request, sends a fixed byte sequence and closes or resets the connection.
 class single_response_server {
 public:
-    explicit single_response_server(std::string bytes)
+    explicit single_response_server(std::string bytes, bool isReset = false)
         : m_acceptor(m_io, { asio::ip::address_v4::loopback(), 0 })
         , m_bytes(std::move(bytes))
+        , m_isReset(isReset)
         , m_thread([this] { serve(); })
     {
     }
@@ -51,11 +52,15 @@
         m_isSent = asio::write(socket, asio::buffer(m_bytes), ignored) == m_bytes.size();
         if (m_bytes.empty()) // Sends nothing and waits until the client times out and closes.
             asio::read_until(socket, asio::dynamic_buffer(request), "never", ignored);
+        if (m_isReset)
+            socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
     }
 
     asio::io_context m_io;
     asio::ip::tcp::acceptor m_acceptor;
     std::string m_bytes;
+    bool m_isReset;
     bool m_isSent = false;
     std::thread m_thread;
 };
@@ -96,6 +101,13 @@
     }
 }
 
+TEST(http_fetch, takesNoResetForTheEndOfAResponse)
+{
+    single_response_server server("HTTP/1.1 200 OK\r\n\r\npart of it", true);
+    const auto results = fetchAll({ { server.getAddress(), "/status" } }, milliseconds(20000));
+    CHECK_FALSE(results.at(0).hasResponse);
+}
+
 // Chunk headers and trailers were kept without a limit until the request timed out.
 TEST(http_fetch, givesUpAnEndlessResponse)
 {
--- a/tests/transport/platform_client_test.cpp
+++ b/tests/transport/platform_client_test.cpp
@@ -22,6 +22,7 @@
     std::string response;
     /// Text that the failure reason must contain; empty if the document must be accepted.
     const char* failure;
+    bool isReset = false; ///< Whether the connection is reset behind the response.
 };
 
 const std::vector<response_case>& getCases()
@@ -32,6 +33,8 @@
         { "bad revision", "HTTP/1.1 200 OK\r\nrevision: 7x\r\ncontent-length: 4\r\n\r\ntext", "no revision" },
         { "outage", "HTTP/1.1 503 Out\r\ncontent-length: 0\r\n\r\n", "503" },
         { "above the limit", "HTTP/1.1 429 Limit\r\ncontent-length: 0\r\n\r\n", "429" },
+        { "without a length", "HTTP/1.1 200 OK\r\nrevision: 7\r\n\r\ntext", "" },
+        { "reset without a length", "HTTP/1.1 200 OK\r\nrevision: 7\r\n\r\ntext", "answer", true },
         { "cut short", "HTTP/1.1 200 OK\r\nrevision: 7\r\ncontent-length: 40\r\n\r\ntext", "answer" },
         { "too large", "HTTP/1.1 200 OK\r\nrevision: 7\r\ncontent-length: 2000000\r\n\r\n", "answer" },
         { "garbage", "garbage\r\n\r\n", "answer" },
@@ -59,7 +62,11 @@
                 request.clear();
                 boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", ignored);
                 boost::asio::write(socket, boost::asio::buffer(row.response), ignored);
-                socket.shutdown(tcp::socket::shutdown_send, ignored);
+                if (row.isReset)
+                    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+                else
+                    socket.shutdown(tcp::socket::shutdown_send, ignored);
+                socket.close(ignored);
                 accept();
             });
         };
