mesh, platform: Accept no key if the table of organisations is empty

Callers: after an operator had published an empty table of organisations, requests with a key that was taken away with the last one went on being run, for as long as that configuration was in force, and the instances got the key itself.

An empty one looked like none, and without one requests need no key: no node checked keys, removed them, or asked whether its rules were proved current. Ruled out: a late or lost document, since the tests hand the document to the nodes without a store and failed all the same; and the proof of freshness, which the code never asked.

All places that asked for organisations ask for the table now: the client's node, the instance's node and the report on placement.

--- a/core/traffic_rules.cpp
+++ b/core/traffic_rules.cpp
@@ -22,8 +22,10 @@
 
 bool operator==(const traffic_rules& a, const traffic_rules& b)
 {
-    return std::tie(a.version, a.routes, a.services, a.limits, a.organisations, a.organisationsByKeyDigest)
-        == std::tie(b.version, b.routes, b.services, b.limits, b.organisations, b.organisationsByKeyDigest);
+    return std::tie(a.version, a.routes, a.services, a.limits, a.hasOrganisationTable, a.organisations,
+               a.organisationsByKeyDigest)
+        == std::tie(b.version, b.routes, b.services, b.limits, b.hasOrganisationTable, b.organisations,
+            b.organisationsByKeyDigest);
 }
 
 const organisation* traffic_rules::findOrganisation(const std::string& key) const
--- a/core/traffic_rules.h
+++ b/core/traffic_rules.h
@@ -70,13 +70,16 @@
     std::vector<call_route> routes;
     std::map<std::string, service_description> services;
     client_limits limits;
-    std::map<std::string, organisation> organisations; ///< By name; if empty, requests need no key.
+    /// Whether the configuration has a table of organisations. An empty table holds no key, so that every key
+    /// is unknown; without a table, requests need no key.
+    bool hasOrganisationTable = false;
+    std::map<std::string, organisation> organisations; ///< By name.
     /// Name of the organisation that holds a key, by the digest of the key. The keys themselves are not kept,
     /// so that they can't appear in any output.
     std::map<std::string, std::string> organisationsByKeyDigest;
 
-    /// @return whether requests are identified by the key of an organisation.
-    bool hasOrganisations() const { return !organisations.empty(); }
+    /// @return whether requests need the key of an organisation.
+    bool requiresKeys() const { return hasOrganisationTable || !organisations.empty(); }
 
     /// @return the organisation that holds a key, or null.
     const organisation* findOrganisation(const std::string& key) const;
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -134,7 +134,7 @@
     }
     m_route = m_rules->findRoute(m_clientInfo.host, request.getPath());
     if (!m_route) {
-        if (m_rules->hasOrganisations() && m_clientInfo.organisationKey && !mayUseKeys())
+        if (m_rules->requiresKeys() && m_clientInfo.organisationKey && !mayUseKeys())
             return false;
         respondWithError(notFoundStatus, "no-route",
             "no matching route in rules version " + std::to_string(m_rules->version), std::nullopt);
@@ -155,7 +155,7 @@
 /// @return whether the request may go on; if not, it has been answered.
 bool outbound_call::identifyOrganisation()
 {
-    if (!m_rules->hasOrganisations())
+    if (!m_rules->requiresKeys())
         return true;
     m_context.protocol.removeOrganisationFields(m_incoming->getRequest().fields);
     const auto key = std::exchange(m_clientInfo.organisationKey, std::nullopt);
@@ -194,7 +194,7 @@
 {
     if (m_parent)
         return m_parent->priority;
-    if (!m_rules->hasOrganisations())
+    if (!m_rules->requiresKeys())
         return m_route->priority;
     const auto organisationPriority = m_organisation ? m_organisation->priority : std::nullopt;
     return combinePriorities(organisationPriority, m_route->priority);
--- a/mesh/placement_report.cpp
+++ b/mesh/placement_report.cpp
@@ -105,7 +105,7 @@
         const auto found = rules.organisations.find(query.organisation);
         const bool isKnown = found != rules.organisations.end();
         const auto priority = [&] {
-            if (!route || !rules.hasOrganisations())
+            if (!route || !rules.requiresKeys())
                 return route ? route->priority : 0;
             return combinePriorities(isKnown ? found->second.priority : std::nullopt, route->priority);
         }();
@@ -116,10 +116,10 @@
                 return { notFoundStatus, "no matching route" };
             if (query.size > rules.limits.bodyBytes)
                 return { tooLargeStatus, "the body is larger than the limit of the configuration" };
-            if (rules.hasOrganisations() && !route->isAnonymous && !isKnown)
+            if (rules.requiresKeys() && !route->isAnonymous && !isKnown)
                 return { unauthorizedStatus,
                     query.organisation.empty() ? "the route asks for a key" : "unknown organisation" };
-            if (rules.hasOrganisations() && !route->isAnonymous && !context.mayUseKeys())
+            if (rules.requiresKeys() && !route->isAnonymous && !context.mayUseKeys())
                 return { unavailableStatus, "the rules are not proved current" };
             if (context.endsAt)
                 return { unavailableStatus, "the node is stopping" };
--- a/tests/platform/store_documents_test.cpp
+++ b/tests/platform/store_documents_test.cpp
@@ -88,6 +88,17 @@
     POINTERS_EQUAL(nullptr, rules->findOrganisation(""));
 }
 
+// Without a table, requests need no key; an empty table holds none, so that every key is unknown.
+TEST(store_documents, tellsAnEmptyTableOfOrganisationsFromNone)
+{
+    const auto none = readStoredRules(R"({"version":"1","routes":{}})");
+    const auto empty = readStoredRules(R"({"version":"1","routes":{},"tenants":{}})");
+    CHECK_FALSE(none->requiresKeys());
+    CHECK(empty->requiresKeys());
+    CHECK(*none != *empty);
+    POINTERS_EQUAL(nullptr, empty->findOrganisation(""));
+}
+
 // A document that gives a key to the wrong organisation, or loses a limit, must not take effect; and no
 // reason may show a key.
 TEST(store_documents, rejectsInvalidOrganisations)
