mesh: Check keys of clients also while the known rules have no organisations

Callers: while the store turned a node away, an operator published the first table of organisations. Clients of that node sent keys, and it ran all their requests, those with a key that never existed too, and passed the keys on to the instances.

Without a table in them it neither removed a key nor asked whether they were proved current, although the proof was too old for any key.

A key then needs a recent proof (503 without one), must be held by an organisation of the proved rules (401), and is removed at the client's node and the instance's. That also covers a table that goes as a whole: its keys are taken away as with an empty one, also at a node that has just started. Requests without a key need no proof, so a silent store stops nothing where clients send none; without the setting nothing changes.

--- a/mesh/inbound_call.cpp
+++ b/mesh/inbound_call.cpp
@@ -89,7 +89,7 @@
     request.fields.erase(fillHintHeader);
     parsePeerOrganisation(request.fields.find(peer_header::organisation), *call);
     request.fields.erase(peer_header::organisation);
-    if (context.rules->requiresKeys())
+    if (context.usesKeys())
         context.protocol.removeOrganisationFields(request.fields);
     if (context.config.usesCallTrees) {
         const auto host = context.protocol.parseClientFields(request.fields).host;
--- a/mesh/mesh_context.h
+++ b/mesh/mesh_context.h
@@ -43,6 +43,11 @@
     /// @return whether the rules are proved current enough to identify requests by keys.
     std::function<bool()> mayUseKeys;
     quota_agent& quota;
+
+    /// @return whether requests may have keys of organisations. Where keys can be revoked, that does not
+    /// depend on the rules: those in force may have a table of organisations that this node has not learnt
+    /// of.
+    bool usesKeys() const { return rules->requiresKeys() || config.revokeTime > milliseconds(); }
 };
 
 } // namespace fuchsiagauge
--- a/mesh/mesh_settings.cpp
+++ b/mesh/mesh_settings.cpp
@@ -82,7 +82,8 @@
         makeNumberRow("platform.revoke_s", 0, 0, 3600,
             "Time after which a key that a published configuration no longer contains must not be accepted, "
             "in seconds; 0: not limited, otherwise at least 2. Keys are refused with 503 while the node's "
-            "configuration has not been proved current within 0.9 of this time."),
+            "configuration has not been proved current within 0.9 of this time, also while it has no "
+            "organisations."),
         makeNumberRow(
             "stop.grace_s", 6, 1, 3600, "Time from the stop signal until the process is killed, in seconds."),
         makeNumberRow("repeats.ratio", 0.2, 0, 1,
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -134,7 +134,7 @@
     }
     m_route = m_rules->findRoute(m_clientInfo.host, request.getPath());
     if (!m_route) {
-        if (m_rules->requiresKeys() && m_clientInfo.organisationKey && !mayUseKeys())
+        if (m_context.usesKeys() && m_clientInfo.organisationKey && !mayUseKeys())
             return false;
         respondWithError(notFoundStatus, "no-route",
             "no matching route in rules version " + std::to_string(m_rules->version), std::nullopt);
@@ -150,16 +150,16 @@
     return true;
 }
 
-/// Finds the organisation whose key the request has, if the rules ask for one, and removes the key from the
-/// request.
+/// Finds the organisation whose key the request has and removes the key from the request. A key that no
+/// organisation holds is refused even if the rules require none: it may have been revoked with all others.
 /// @return whether the request may go on; if not, it has been answered.
 bool outbound_call::identifyOrganisation()
 {
-    if (!m_rules->requiresKeys())
+    if (!m_context.usesKeys())
         return true;
     m_context.protocol.removeOrganisationFields(m_incoming->getRequest().fields);
     const auto key = std::exchange(m_clientInfo.organisationKey, std::nullopt);
-    if (m_route->isAnonymous || (!key && m_parent))
+    if (m_route->isAnonymous || (!key && (m_parent || !m_rules->requiresKeys())))
         return true;
     if (!key && !m_clientInfo.parentId.empty()) {
         respondWithError(unavailableStatus, "no-parent",
--- a/mesh/placement_report.cpp
+++ b/mesh/placement_report.cpp
@@ -116,11 +116,13 @@
                 return { notFoundStatus, "no matching route" };
             if (query.size > rules.limits.bodyBytes)
                 return { tooLargeStatus, "the body is larger than the limit of the configuration" };
-            if (rules.requiresKeys() && !route->isAnonymous && !isKnown)
-                return { unauthorizedStatus,
-                    query.organisation.empty() ? "the route asks for a key" : "unknown organisation" };
-            if (rules.requiresKeys() && !route->isAnonymous && !context.mayUseKeys())
+            const bool hasKey = !query.organisation.empty();
+            const bool needsProof = context.usesKeys() && !route->isAnonymous && hasKey;
+            if (needsProof && !context.mayUseKeys())
                 return { unavailableStatus, "the rules are not proved current" };
+            const bool requiresKey = rules.requiresKeys() && !route->isAnonymous;
+            if ((requiresKey || needsProof) && !isKnown)
+                return { unauthorizedStatus, hasKey ? "unknown organisation" : "the route asks for a key" };
             if (context.endsAt)
                 return { unavailableStatus, "the node is stopping" };
             return { okStatus, "" };
