mesh, transport: Deliver what is ready behind unfinished requests before a stop ends

Callers: clients that had sent a request behind another one on the same connection lost both at the end of a planned stop, although the response to the second had been ready for 3.5 s.

Cause: responses leave in the order of the requests. At the end of the grace period the node closed its connections with all calls on them, ready or not, as nothing ever ended the unfinished call in front. Ruled out: that the second request was not run or its response was lost on the way, since the instance's record shows its end 3.5 s before; and that the kernel discarded it, since the node had not written a byte.

Why it works: a node that ends responds to unfinished requests itself, with 502, or 503 if no instance can have received them, and the ready responses behind leave with that. A request that holds up nothing is awaited until the end. One that holds up others is cut off as much earlier as their bytes need to be delivered: 60 ms for small ones, at most 0.08 of the grace period, which is within its last sixth. The end itself stays where it was. The node of an instance tells the client's node the same, so that it need not wait for the connection to break. `node-stopped` counts in `open` what was cut off, as before.

--- a/mesh/inbound_call.cpp
+++ b/mesh/inbound_call.cpp
@@ -112,6 +112,17 @@
               respondToPeer(context, *incoming, call, std::move(result));
           });
     incoming->setDisconnectHook([&context, runId] { context.target.cancel(runId); });
+    incoming->setCutOffHook([&context, runId, weak = std::weak_ptr(incoming), call = *call] {
+        const auto open = weak.lock();
+        if (!open)
+            return;
+        const bool mayHaveRun = context.target.cancel(runId);
+        attempt_result result;
+        result.outcome = mayHaveRun ? attempt_outcome::Lost : attempt_outcome::Leaving;
+        result.detail = "this node stops before the request ends";
+        result.load = context.target.getLoad();
+        respondToPeer(context, *open, call, std::move(result));
+    });
 }
 
 } // namespace fuchsiagauge
--- a/mesh/mesh_node.cpp
+++ b/mesh/mesh_node.cpp
@@ -35,6 +35,9 @@
     /// ends before the process is killed: at the later of these times.
     constexpr double usableGraceShare = 0.92;
     constexpr milliseconds exitTime { 250 };
+    /// Share of the grace period, just before the node stops, in which requests may be cut off so that
+    /// responses which are ready behind them are delivered.
+    constexpr double deliveryGraceShare = 0.08;
     /// Time in which clients and peers may close idle connections after the node has shut them down.
     constexpr milliseconds maxConnectionShutdownTime { 300 };
     /// Share of the descriptors that incoming connections may take.
@@ -151,6 +154,7 @@
     bool isStopping = false;
     bool isShuttingDown = false; ///< Everything under way has ended; the connections are being closed.
     milliseconds shutdownStartedAt;
+    std::size_t cutOffCallCount = 0; ///< Requests of clients that the stop has cut off.
 };
 
 mesh_node::state::state(
@@ -637,15 +641,22 @@
         callersServer.tick();
         peersServer.tick();
     }
+    const auto timeLeft = getEndTime() - now;
+    if (timeLeft <= config.gracePeriod * deliveryGraceShare) {
+        cutOffCallCount += callersServer.cutOffBlockingCalls(timeLeft);
+        peersServer.cutOffBlockingCalls(timeLeft);
+    }
     const auto connections = callersServer.getConnectionCount() + peersServer.getConnectionCount();
     // The end of the process could discard a response that is still on its way.
     const bool isLingering = callersServer.isLingering() || peersServer.isLingering();
     const bool isDone = isShuttingDown && !isLingering
         && (connections == 0 || now - shutdownStartedAt >= maxConnectionShutdownTime);
-    if (!isDone && now < getEndTime())
+    if (!isDone && timeLeft > milliseconds())
         return;
+    cutOffCallCount += callersServer.cutOffCalls();
+    peersServer.cutOffCalls();
     log.write(event_kind::NodeStopped, {},
-        { { "open", static_cast<double>(callersServer.getOpenCallCount()) },
+        { { "open", static_cast<double>(cutOffCallCount) },
             { "connections", static_cast<double>(connections) }, { "ms", elapsed.getCount() } });
     log.flush();
     const auto done = std::move(onStopped);
--- a/mesh/outbound_call.cpp
+++ b/mesh/outbound_call.cpp
@@ -86,6 +86,10 @@
         if (const auto self = weak.lock())
             self->onClientDisconnect();
     });
+    m_incoming->setCutOffHook([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->cutOff();
+    });
     if (!selectRoute())
         return;
     if (m_organisation && m_organisation->ratePerSecond > 0)
@@ -642,6 +646,20 @@
     failRequest(expired);
 }
 
+void outbound_call::cutOff()
+{
+    if (m_isEnded)
+        return;
+    attempt_result result;
+    result.outcome = attempt_outcome::Leaving;
+    result.detail = "this node stops before the request ends";
+    if (cancelAttempts(health_signal::Cancelled)) {
+        result.outcome = attempt_outcome::Lost;
+        m_possibleRunResult = result;
+    }
+    finish(result);
+}
+
 /// Tries another instance with an idempotent request whose current instance has stopped responding. The
 /// attempt there stays open until another one has answered.
 void outbound_call::failOverFromUnresponsiveInstance(milliseconds now)
--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -32,6 +32,9 @@
     /// responding.
     void tick(milliseconds now);
 
+    /// Ends the call at once, as the node can't wait for its instance any longer.
+    void cutOff();
+
     /// @return whether the call has ended.
     bool isEnded() const { return m_isEnded; }
 
--- a/transport/http_server.cpp
+++ b/transport/http_server.cpp
@@ -148,6 +148,24 @@
         entry->checkTimeouts(now);
 }
 
+std::size_t http_server::cutOffBlockingCalls(milliseconds timeLeft)
+{
+    const auto connections = m_state->connections;
+    std::size_t count = 0;
+    for (const auto& entry : connections)
+        count += entry->cutOffBlockingCalls(timeLeft);
+    return count;
+}
+
+std::size_t http_server::cutOffCalls()
+{
+    const auto connections = m_state->connections;
+    std::size_t count = 0;
+    for (const auto& entry : connections)
+        count += entry->cutOffCalls();
+    return count;
+}
+
 void http_server::close()
 {
     boost::system::error_code code;
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -81,6 +81,17 @@
     /// those whose clients don't close them after the last response. Must be called regularly.
     void tick();
 
+    /// Cuts off the requests that hold up responses which are ready behind them, on each connection where the
+    /// time that is left is just enough to deliver these responses. To be called regularly before close().
+    /// @param timeLeft time until close().
+    /// @return the number of requests that were cut off.
+    std::size_t cutOffBlockingCalls(milliseconds timeLeft);
+
+    /// Cuts off all requests that have no response yet: each must be given one at once. To be called just
+    /// before close().
+    /// @return their number.
+    std::size_t cutOffCalls();
+
     /// Stops accepting connections and closes the existing ones.
     void close();
 
--- a/transport/incoming_call.cpp
+++ b/transport/incoming_call.cpp
@@ -18,6 +18,7 @@
     m_head = head;
     m_body = std::move(body);
     m_onDisconnect = nullptr;
+    m_onCutOff = nullptr;
     const auto onReady = std::move(m_onReady);
     onReady();
 }
@@ -30,16 +31,26 @@
     m_isReady = true;
     m_isDropped = true;
     m_onDisconnect = nullptr;
+    m_onCutOff = nullptr;
     const auto onReady = std::move(m_onReady);
     onReady();
 }
 
+void incoming_call::cutOff()
+{
+    const auto onCutOff = std::move(m_onCutOff);
+    m_onCutOff = nullptr;
+    if (!m_isEnded && onCutOff)
+        onCutOff();
+}
+
 void incoming_call::handleDisconnect()
 {
     if (m_isEnded)
         return;
     m_isEnded = true;
     m_onReady = nullptr;
+    m_onCutOff = nullptr;
     const auto onDisconnect = std::move(m_onDisconnect);
     if (onDisconnect)
         onDisconnect();
--- a/transport/incoming_call.h
+++ b/transport/incoming_call.h
@@ -42,6 +42,13 @@
     /// Sets the hook that is called once if the client disconnects before respond() or drop().
     void setDisconnectHook(std::function<void()> hook) { m_onDisconnect = std::move(hook); }
 
+    /// Sets the hook that is called if the connection can't wait for the response any longer. It must respond
+    /// at once.
+    void setCutOffHook(std::function<void()> hook) { m_onCutOff = std::move(hook); }
+
+    /// Ends the call by a response that is given at once, if a hook is set. Called by the connection.
+    void cutOff();
+
     /// @return whether the call was answered or dropped, or the client has disconnected.
     bool isEnded() const { return m_isEnded; }
 
@@ -62,6 +69,7 @@
     milliseconds m_arrivedAt;
     ready_hook m_onReady;
     std::function<void()> m_onDisconnect;
+    std::function<void()> m_onCutOff;
     response_head m_head;
     std::string m_body;
     memory_charge m_charge;
--- a/transport/server_connection.cpp
+++ b/transport/server_connection.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
+#include <iterator>
+#include <vector>
 
 namespace fuchsiagauge {
 namespace {
@@ -16,6 +18,9 @@
     constexpr std::size_t maxPipelinedRequests = 16;
     /// Responses buffered for a slow client. Above this, no further requests are read from its connection.
     constexpr std::size_t maxUnsentBytes = 1048576;
+    /// Times for delivering responses that were held up: one round trip, and what further bytes take.
+    constexpr milliseconds minDeliveryTime { 60 };
+    constexpr double deliveredBytesPerMs = 16384;
     /// A request that is forwarded has its head twice.
     constexpr std::size_t headCopies = 2;
     constexpr std::size_t copiedBodyBytes = 16384; ///< A body up to this size is sent from a copy.
@@ -84,6 +89,39 @@
 
 bool server_connection::isDelivered() { return m_unsent.empty() && countUnacknowledgedBytes(m_socket) == 0; }
 
+std::size_t server_connection::cutOffBlockingCalls(milliseconds timeLeft)
+{
+    const auto isReady = [](const auto& call) { return call->isReady(); };
+    const auto lastReady = std::find_if(m_calls.rbegin(), m_calls.rend(), isReady);
+    if (lastReady == m_calls.rend())
+        return 0;
+    std::size_t bytes = m_unsent.size() - m_sentBytes;
+    for (auto call = lastReady; call != m_calls.rend(); ++call)
+        bytes += (*call)->getResponseBody().size();
+    const milliseconds deliveryTime { static_cast<double>(bytes) / deliveredBytesPerMs };
+    if (timeLeft > minDeliveryTime + deliveryTime)
+        return 0;
+    return cutOffFirstCalls(static_cast<std::size_t>(std::distance(lastReady, m_calls.rend())));
+}
+
+/// Cuts off those of the first requests that have no response yet.
+/// @return their number.
+std::size_t server_connection::cutOffFirstCalls(std::size_t count)
+{
+    const auto self = shared_from_this();
+    // A copy, as each response removes itself and those behind it that are ready from `m_calls`.
+    const std::vector<std::shared_ptr<incoming_call>> calls(
+        m_calls.begin(), m_calls.begin() + static_cast<std::ptrdiff_t>(count));
+    std::size_t cutOffCount = 0;
+    for (const auto& call : calls) {
+        if (call->isEnded())
+            continue;
+        call->cutOff();
+        ++cutOffCount;
+    }
+    return cutOffCount;
+}
+
 void server_connection::shutDownSending()
 {
     if (m_isShutDown || m_isClosed)
--- a/transport/server_connection.h
+++ b/transport/server_connection.h
@@ -95,6 +95,15 @@
 
     milliseconds getLastActiveTime() const { return m_lastActiveAt; }
 
+    /// Cuts off the requests that hold up responses which are ready behind them, if the time that is left is
+    /// just enough to deliver these responses.
+    /// @return the number of requests that were cut off.
+    std::size_t cutOffBlockingCalls(milliseconds timeLeft);
+
+    /// Cuts off all requests that have no response yet.
+    /// @return their number.
+    std::size_t cutOffCalls() { return cutOffFirstCalls(m_calls.size()); }
+
     /// Shuts down the sending direction and waits for the client before closing the connection, so that a
     /// connection reset does not discard data that was sent.
     void shutDownSending();
@@ -140,6 +149,7 @@
     void refuse(const response_head& head, const std::string& text);
     void dispatchRequest();
     std::shared_ptr<incoming_call> addCall(call_request request, std::size_t memory);
+    std::size_t cutOffFirstCalls(std::size_t count);
     void sendReadyResponses();
     void accountForResponses(std::size_t sentBytes);
     void send(std::string text);
