transport: Close no connection whose responses an unfinished request holds up

Callers: while clients' responses took half of their memory, clients that read at once lost all pipelined responses on a connection 2 s after the second one had become ready, in a planned stop and without one.

Cause: the memory account gives up connections whose held bytes make no progress for 2 s, as those of slow readers. Responses that wait for an unfinished request in front make none either, whatever their client does.

The test heldUpResponsesAreReleased... failed without the change to transport/ (no response arrived).

Why it works: the connection releases the ready responses by cutting off the requests in front of them, each with a true status, as soon as it would have been closed. The memory is freed no later than before, and a client that does not read what was sent to it is still given up.

--- a/tests/transport/cut_off_test.cpp
+++ b/tests/transport/cut_off_test.cpp
@@ -30,7 +30,8 @@
     asio::io_context io;
     std::vector<std::shared_ptr<incoming_call>> calls;
     std::vector<std::size_t> cutOff; ///< Indexes of the calls that were cut off.
-    http_server server { io, fuchsiagauge::clock([] { return milliseconds(1000); }), 2,
+    milliseconds now { 1000 };
+    http_server server { io, fuchsiagauge::clock([this] { return now; }), 2,
         [this](const std::shared_ptr<incoming_call>& call) { addCall(call); } };
     tcp::socket client { io };
     std::string received;
@@ -83,15 +84,22 @@
         calls.at(index)->respond(head, std::string(bytes, 'x'));
     }
 
+    /// @return the number of bytes that the client has received in all.
+    std::size_t receive()
+    {
+        std::array<char, 65536> bytes {};
+        boost::system::error_code code;
+        while (!code)
+            received.append(bytes.data(), client.read_some(asio::buffer(bytes), code));
+        return received.size();
+    }
+
     /// Checks which responses the client has received in all, as `status number` in the order of arrival.
     void checkReceived(const std::vector<std::string>& expected)
     {
         std::vector<std::string> found;
         runUntil([&] {
-            std::array<char, 65536> bytes {};
-            boost::system::error_code code;
-            while (!code)
-                received.append(bytes.data(), client.read_some(asio::buffer(bytes), code));
+            receive();
             found.clear();
             std::size_t position = 0;
             while ((position = received.find("HTTP/1.1 ", position)) != std::string::npos) {
@@ -169,3 +177,43 @@
     checkReceived({ "502 0", "200 1" });
     CHECK_EQUAL(1U, cutOff.size());
 }
+
+// Guards against closing the connection of a client that reads: its responses take memory only because an
+// unfinished request holds them up.
+TEST(cut_off, heldUpResponsesAreReleasedWhenTheyTakeTooMuchMemory)
+{
+    constexpr std::size_t processBytes = 67108864;
+    constexpr std::size_t mostOfTheShare = 12582912;
+    const auto account = std::make_shared<memory_account>(makeMemoryShares(processBytes));
+    server.setAccount(account);
+    sendRequests(3);
+    respond(1, 200, mostOfTheShare);
+    account->tick(now);
+    CHECK(cutOff.empty());
+    now = now + memory_shares {}.stallTime;
+    account->tick(now);
+    CHECK_EQUAL(1U, cutOff.size());
+    account->tick(now);
+    checkReceived({ "502 0", "200 1" });
+    runUntil([&] { return receive() >= mostOfTheShare; });
+    CHECK_FALSE(calls[2]->isEnded());
+    respond(2, 200);
+    checkReceived({ "502 0", "200 1", "200 2" });
+}
+
+// A client that does not read is given up as before.
+TEST(cut_off, aSlowReaderIsGivenUpWhenItsResponsesTakeTooMuchMemory)
+{
+    constexpr std::size_t processBytes = 67108864;
+    constexpr std::size_t mostOfTheShare = 12582912;
+    const auto account = std::make_shared<memory_account>(makeMemoryShares(processBytes));
+    server.setAccount(account);
+    sendRequests(3);
+    respond(0, 200, mostOfTheShare);
+    respond(2, 200);
+    now = now + memory_shares {}.stallTime;
+    account->tick(now);
+    CHECK(cutOff.empty());
+    CHECK(calls[1]->isEnded());
+    LONGS_EQUAL(0, server.getConnectionCount());
+}
--- a/transport/http_server.h
+++ b/transport/http_server.h
@@ -27,8 +27,9 @@
     /// Receives one request, which must be answered or dropped.
     using call_hook = std::function<void(const std::shared_ptr<incoming_call>&)>;
 
-    /// Receives the reason for which a request was refused or a connection closed: `memory`, `slow-reader`,
-    /// `trailer`, `chunk-extension`, `chunks`, `body-idle`, `head-idle` or `connections`.
+    /// Receives the reason for which a request was refused or cut off, or a connection closed: `memory`,
+    /// `slow-reader`, `held-up`, `trailer`, `chunk-extension`, `chunks`, `body-idle`, `head-idle` or
+    /// `connections`.
     using refusal_hook = std::function<void(const char* reason)>;
 
     /// Creates a server that is not open yet.
--- a/transport/server_connection.cpp
+++ b/transport/server_connection.cpp
@@ -91,16 +91,17 @@
 
 std::size_t server_connection::cutOffBlockingCalls(milliseconds timeLeft)
 {
-    const auto isReady = [](const auto& call) { return call->isReady(); };
-    const auto lastReady = std::find_if(m_calls.rbegin(), m_calls.rend(), isReady);
-    if (lastReady == m_calls.rend())
-        return 0;
     std::size_t bytes = m_unsent.size() - m_sentBytes;
-    for (auto call = lastReady; call != m_calls.rend(); ++call)
-        bytes += (*call)->getResponseBody().size();
+    for (const auto& call : m_calls)
+        bytes += call->getResponseBody().size();
     const milliseconds deliveryTime { static_cast<double>(bytes) / deliveredBytesPerMs };
-    if (timeLeft > minDeliveryTime + deliveryTime)
-        return 0;
+    return timeLeft > minDeliveryTime + deliveryTime ? 0 : cutOffBlockingCalls();
+}
+
+std::size_t server_connection::cutOffBlockingCalls()
+{
+    const auto isReady = [](const auto& call) { return call->isReady(); };
+    const auto lastReady = std::find_if(m_calls.rbegin(), m_calls.rend(), isReady);
     return cutOffFirstCalls(static_cast<std::size_t>(std::distance(lastReady, m_calls.rend())));
 }
 
@@ -117,7 +118,7 @@
         if (call->isEnded())
             continue;
         call->cutOff();
-        ++cutOffCount;
+        cutOffCount += call->isEnded() ? 1 : 0;
     }
     return cutOffCount;
 }
@@ -304,6 +305,8 @@
 {
     const auto self = shared_from_this();
     if (isSending) {
+        if (releaseHeldUpResponses())
+            return;
         m_owner->reportRefusal("slow-reader");
         close();
         return;
@@ -315,6 +318,21 @@
         close();
 }
 
+/// Cuts off the requests that hold up ready responses, unless it is the client that does not read.
+/// @return whether responses were released.
+bool server_connection::releaseHeldUpResponses()
+{
+    if (!m_unsent.empty())
+        return false;
+    const auto heldBytes = m_heldBytes;
+    if (cutOffBlockingCalls() == 0)
+        return false;
+    m_owner->reportRefusal("held-up");
+    // Counts as progress, as the client could read none of these responses before.
+    accountForResponses(heldBytes);
+    return true;
+}
+
 void server_connection::refuseForMemory()
 {
     response_head head;
--- a/transport/server_connection.h
+++ b/transport/server_connection.h
@@ -141,6 +141,8 @@
     void accountForRequest(std::size_t receivedBytes);
     void checkFraming();
     void giveUp(bool isSending);
+    std::size_t cutOffBlockingCalls();
+    bool releaseHeldUpResponses();
     void refuseForMemory();
     void parseBuffered();
     std::size_t parse(const char* data, std::size_t size);
