--- a/tests/policy/quota_test.cpp
+++ b/tests/policy/quota_test.cpp
@@ -358,6 +358,21 @@
     CHECK(fleet.getAdmittedPerSecond("a", raisedAt) >= 0.9 * 400);
 }
 
+// What an organisation has used counts on when its table is emptied and filled again.
+TEST(quota, keepsTheHardLimitWhileTheTableIsEmptiedAndFilledAgain)
+{
+    startWithLimit(400, 400);
+    runWithMovingLoad(5000);
+    for (const double emptyMs : { 20.0, 100.0, 300.0, 900.0, 2700.0 }) {
+        fleet.clearLoads();
+        fleet.setLimit("a", 0, 0);
+        fleet.run(emptyMs);
+        fleet.setLimit("a", 400, 400);
+        runWithMovingLoad(2000);
+    }
+    checkHardLimit();
+}
+
 // A client that comes back at the time that it was told is served if no other request has come in between.
 TEST(quota, keepsItsWordAboutTheTimeToComeBack)
 {
