--- a/mesh/outbound_call.h
+++ b/mesh/outbound_call.h
@@ -32,7 +32,8 @@
     /// responding.
     void tick(milliseconds now);
 
-    /// Ends the call at once, as the node can't wait for its instance any longer.
+    /// Ends the call at once, as the node can't wait for its instance any longer. The response has status 503
+    /// only if no instance can have received the request.
     void cutOff();
 
     /// @return whether the call has ended.
