tests: Send requests behind a long one during a planned stop

planned_stop.py, which is run by hand, found no response that is dropped behind an unfinished request, as its clients did not pipeline. A fifth of its requests are now sent behind one that outlasts the node.

--- a/tests/soak/planned_stop.py
+++ b/tests/soak/planned_stop.py
@@ -2,7 +2,8 @@
 """Stops one node in calm and sends requests in each tenth of its grace time: none may be lost.
 
 The requests come on clients' connections, kept and new, whole and in parts, short and long, at the node that stops and, for an
-instance that only this node can reach, at other nodes, which send them on over their connections to it.
+instance that only this node can reach, at other nodes, which send them on over their connections to it. Some are sent
+behind a long request on the same connection, whose response has to come first.
 """
 
 import argparse
@@ -22,6 +23,8 @@
 REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 TENTHS = 10
 WORK_MS = (20, 500, 1500, 3200)
+FRONT_WORK_MS = 4600  # Of a request that others are sent behind; ends after the node if it is sent in the notice period.
+BEHIND_SHARE = 0.25  # In addition to the others.
 PART_PAUSE_S = 0.3
 LOSS_SLACK_S = 0.2
 NOTICE_S = 3  # A request sent later must not be cut, however long it takes.
@@ -38,14 +41,15 @@
     def __init__(self, request_id, tenth, case):
         self.id = request_id
         self.tenth = tenth
-        self.is_peer, self.is_kept, self.is_whole, self.work_ms, self.prefix = case
+        self.is_peer, self.is_kept, self.is_whole, self.work_ms, self.prefix, self.is_behind = case
         self.sent_at = None
         self.end_at = None
         self.outcome = None
 
     def describe(self):
         return " ".join([self.id, "peer" if self.is_peer else "client", "kept" if self.is_kept else "new",
-                         "whole" if self.is_whole else "in parts", self.prefix, f"{self.work_ms} ms"])
+                         "whole" if self.is_whole else "in parts", self.prefix, f"{self.work_ms} ms"]
+                        + (["behind"] if self.is_behind else []))
 
 
 async def open_connection(ip):
@@ -80,8 +84,13 @@
             connection[1].write(text[:len(text) // 2])
             text = text[len(text) // 2:]
             await asyncio.sleep(PART_PAUSE_S)
+        if attempt.is_behind:
+            text = format_request(attempt.id + "-front", "GET", f"/browse/{FRONT_WORK_MS}/200/0") + text
         connection[1].write(text)
         attempt.sent_at = now()
+        if attempt.is_behind:
+            head = await asyncio.wait_for(wire.read_head(connection[0]), DEADLINE_MS / 1000 + 2)
+            await asyncio.wait_for(wire.read_body(connection[0], head), 2)
         head = await asyncio.wait_for(wire.read_head(connection[0]), DEADLINE_MS / 1000 + 2)
         if head is None:
             raise ConnectionError("closed")
@@ -112,12 +121,16 @@
     try:
         await fleet.start()
         await asyncio.sleep(SETTLE_S)
-        cases = list(itertools.product((False, True), (False, True), (False, True), WORK_MS, ("alone", "browse", "orders")))
+        cases = list(itertools.product((False, True), (False, True), (False, True), WORK_MS, ("alone", "browse", "orders"),
+                                       (False,)))
+        behind_cases = list(itertools.product((False, True), (False, True), (True,), WORK_MS, ("browse",), (True,)))
         attempts = []
         tasks = []
         signalled_at = record.now() + 1
         for tenth in range(TENTHS):
-            for case in order.sample(cases, arguments.sample):
+            drawn = order.sample(cases, arguments.sample)
+            drawn += order.choices(behind_cases, k=round(arguments.sample * BEHIND_SHARE))
+            for case in drawn:
                 attempts.append(Attempt(f"t{tenth}-{len(attempts)}", tenth, case))
                 offset_s = (tenth + order.random()) * GRACE_S / TENTHS
                 tasks.append(asyncio.ensure_future(send(fleet, attempts[-1], signalled_at, offset_s)))
