tests: Begin the planned stop once the ready responses have arrived

deliversResponses... of planned_stop stopped the node when the instances had received the requests; on a machine that suspends the process for the whole grace period, the responses could have been read after its end. Seen in review, not in a run. The tests of cut_off share their account."

--- a/tests/mesh/planned_stop_test.cpp
+++ b/tests/mesh/planned_stop_test.cpp
@@ -46,6 +46,12 @@
         };
     }
 
+    /// Waits until the node has received the responses to earlier requests, as it has received a later one.
+    void awaitResponses(const test_mesh::vm& entry, const std::string& answeredId)
+    {
+        LONGS_EQUAL(200, mesh.await(mesh.send(entry, answeredId)).head.status);
+    }
+
     /// Receives until the node has stopped.
     /// @return the statuses of the responses, each followed by a blank.
     std::string receiveStatuses(boost::asio::ip::tcp::socket & client)
@@ -127,29 +133,31 @@
 TEST(planned_stop, deliversResponsesThatAreReadyBehindUnfinishedRequests)
 {
     auto& entry = mesh.addVm("i-1", "front");
-    entry.slots = 6;
+    entry.slots = 7;
     respondOnlyTo(entry, "24");
     mesh.publishInstances();
     mesh.publishRules(test_mesh::makeRules("front", true));
     auto client = mesh.connectRawClient(entry);
     sendRequests(client, 6, "GET");
     mesh.runUntil([&] { return entry.received.size() == 6; });
+    awaitResponses(entry, "4");
     stop(entry);
     STRCMP_EQUAL("502 502 200 502 200 502 ", receiveStatuses(client).c_str());
-    CHECK_EQUAL(6U, entry.received.size());
+    CHECK_EQUAL(7U, entry.received.size());
 }
 
 TEST(planned_stop, deliversResponsesOfOtherNodesThatAreReadyBehindUnfinishedRequests)
 {
     auto& entry = mesh.addVm("i-1", "front");
     auto& callee = mesh.addVm("i-2", "orders");
-    callee.slots = 3;
+    callee.slots = 4;
     respondOnlyTo(callee, "1");
     mesh.publishInstances();
     mesh.publishRules(test_mesh::makeRules("orders", true));
     auto client = mesh.connectRawClient(entry);
     sendRequests(client, 3, "GET");
     mesh.runUntil([&] { return callee.received.size() == 3; });
+    awaitResponses(entry, "1");
     stop(entry);
     STRCMP_EQUAL("502 200 502 ", receiveStatuses(client).c_str());
 }
--- a/tests/transport/cut_off_test.cpp
+++ b/tests/transport/cut_off_test.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::seconds maxWaitTime { 20 };
 constexpr milliseconds longTime { 1000 };
 constexpr milliseconds shortTime { 40 };
+constexpr std::size_t processBytes = 67108864;
+constexpr std::size_t mostOfTheShare = 12582912; ///< Of the responses.
 
 } // namespace
 
@@ -31,6 +33,8 @@
     std::vector<std::shared_ptr<incoming_call>> calls;
     std::vector<std::size_t> cutOff; ///< Indexes of the calls that were cut off.
     milliseconds now { 1000 };
+    std::shared_ptr<memory_account> account
+        = std::make_shared<memory_account>(makeMemoryShares(processBytes));
     http_server server { io, fuchsiagauge::clock([this] { return now; }), 2,
         [this](const std::shared_ptr<incoming_call>& call) { addCall(call); } };
     tcp::socket client { io };
@@ -182,9 +186,6 @@
 // unfinished request holds them up.
 TEST(cut_off, heldUpResponsesAreReleasedWhenTheyTakeTooMuchMemory)
 {
-    constexpr std::size_t processBytes = 67108864;
-    constexpr std::size_t mostOfTheShare = 12582912;
-    const auto account = std::make_shared<memory_account>(makeMemoryShares(processBytes));
     server.setAccount(account);
     sendRequests(3);
     respond(1, 200, mostOfTheShare);
@@ -204,9 +205,6 @@
 // A client that does not read is given up as before.
 TEST(cut_off, aSlowReaderIsGivenUpWhenItsResponsesTakeTooMuchMemory)
 {
-    constexpr std::size_t processBytes = 67108864;
-    constexpr std::size_t mostOfTheShare = 12582912;
-    const auto account = std::make_shared<memory_account>(makeMemoryShares(processBytes));
     server.setAccount(account);
     sendRequests(3);
     respond(0, 200, mostOfTheShare);
